--- /dev/null
+++ b/admit/desk.go
@@ -0,0 +1,436 @@
+// Package admit queues requests at one instance: it refuses at once what can't
+// finish within its deadline, orders the rest by priority and age, and gives
+// each a place on an upstream.
+//
+// # Usage
+//
+//	desk := admit.New(notify)
+//	pass, refusal := desk.Enter(ctx, ticket, now)
+//	if refusal == nil {
+//		defer pass.Release(admit.Done, time.Now())
+//		send(pass.Replica())
+//	}
+package admit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/cells"
+)
+
+const (
+	// ageStep is how much later a request counts as arrived for each step of
+	// priority, so that patient work is overtaken for at most nine steps.
+	ageStep = 5 * time.Second
+	// sweepMargin is the share of the service time that must remain.
+	sweepMargin = 0.5
+	// maxRetryAfter bounds when a refused caller is told to come back.
+	maxRetryAfter = 30 * time.Second
+)
+
+// Ticket is a request at the door.
+type Ticket struct {
+	Model    cardamom.ModelID
+	Cell     cardamom.CellID
+	Caller   string
+	Priority int
+	Arrived  time.Time
+	Deadline time.Time
+	// Suspect tells that an upstream died while running the request.
+	Suspect bool
+	// QueueLimit is how many requests may wait for the model.
+	QueueLimit int
+	// CallerLimit is how many requests the caller may have here.
+	CallerLimit int
+	// Avoid is an upstream on which a try has failed, empty for none.
+	Avoid cardamom.UpstreamID
+}
+
+// Result is how a pass ended.
+type Result uint8
+
+// The results of a pass.
+const (
+	// Done means the request was served; its time counts as service time.
+	Done Result = iota + 1
+	// Broken means it was not; its time does not count.
+	Broken
+)
+
+// Pass is a place on an upstream. It must be released once.
+type Pass struct {
+	desk    *Desk
+	ticket  Ticket
+	replica cells.Replica
+	started time.Time
+}
+
+// Replica returns where to send the request.
+func (p *Pass) Replica() cells.Replica { return p.replica }
+
+// Release frees the place.
+func (p *Pass) Release(result Result, now time.Time) { p.desk.release(p, result, now) }
+
+// Demand is told of a cell whose follower has news for the holder.
+type Demand func(cell cardamom.CellID)
+
+// Desk holds the queues of one instance. It is safe for concurrent use.
+type Desk struct {
+	mu        sync.Mutex
+	queues    map[cardamom.ModelID]*queue
+	cells     map[cardamom.ModelID]cardamom.CellID
+	windows   map[cardamom.UpstreamID]*window
+	seats     map[cells.Seat]int
+	callers   map[string]int
+	followers int
+	demand    Demand
+}
+
+// New returns a desk without queues that tells demand of cells with news.
+func New(demand Demand) *Desk {
+	return &Desk{
+		queues:  make(map[cardamom.ModelID]*queue),
+		cells:   make(map[cardamom.ModelID]cardamom.CellID),
+		windows: make(map[cardamom.UpstreamID]*window),
+		seats:   make(map[cells.Seat]int),
+		callers: make(map[string]int),
+		demand:  demand,
+	}
+}
+
+// Enter waits for a place for the request. It returns a refusal at once if the
+// request can't finish in time, and later if that becomes plain.
+func (d *Desk) Enter(ctx context.Context, ticket Ticket, now time.Time) (*Pass, *cardamom.Refusal) {
+	w, refusal := d.join(ticket, now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	timer := time.NewTimer(ticket.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return d.pass(w, g)
+	case <-ctx.Done():
+		refusal = cardamom.Refuse(cardamom.ReasonCallerGone, "caller went away while waiting")
+	case <-timer.C:
+		refusal = cardamom.Refuse(cardamom.ReasonDeadline, "deadline passed while waiting")
+	}
+	if !d.abandon(w) {
+		return d.pass(w, <-w.granted)
+	}
+	return nil, refusal
+}
+
+func (d *Desk) pass(w *waiter, g grant) (*Pass, *cardamom.Refusal) {
+	if g.refusal != nil {
+		return nil, g.refusal
+	}
+	return &Pass{desk: d, ticket: w.ticket, replica: g.replica, started: time.Now()}, nil
+}
+
+// join admits the request to its queue or refuses it.
+func (d *Desk) join(ticket Ticket, now time.Time) (*waiter, *cardamom.Refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queue(ticket.Model)
+	d.cells[ticket.Model] = ticket.Cell
+	w := &waiter{
+		ticket: ticket, index: -1, granted: make(chan grant, 1),
+		key: ticket.Arrived.Add(time.Duration(ticket.Priority) * ageStep),
+	}
+	if refusal := d.check(q, w, now); refusal != nil {
+		return nil, refusal
+	}
+	if len(q.waiting) == 0 && len(q.replicas) == 0 && q.coldSince.IsZero() {
+		q.coldSince = now
+	}
+	news := len(q.waiting) == 0
+	d.callers[ticket.Caller]++
+	q.push(w)
+	d.dispatch(q)
+	if news && len(q.waiting) > 0 {
+		d.demand(ticket.Cell)
+	}
+	return w, nil
+}
+
+func (d *Desk) check(q *queue, w *waiter, now time.Time) *cardamom.Refusal {
+	if w.ticket.CallerLimit > 0 && d.callers[w.ticket.Caller] >= w.ticket.CallerLimit {
+		return cardamom.Refuse(cardamom.ReasonCallerLimit, "caller has too many requests here").After(q.service.value)
+	}
+	if w.ticket.QueueLimit > 0 && len(q.waiting) >= w.ticket.QueueLimit {
+		return cardamom.Refuse(cardamom.ReasonQueueFull, "queue of the model is full").After(d.comeBack(q, now))
+	}
+	expected := Expect(d.load(q, w, now))
+	if now.Add(expected).After(w.ticket.Deadline) {
+		detail := "expected to take " + expected.Round(time.Millisecond).String()
+		return cardamom.Refuse(cardamom.ReasonOverload, detail).After(d.comeBack(q, now))
+	}
+	return nil
+}
+
+func (d *Desk) load(q *queue, w *waiter, now time.Time) Load {
+	return Load{
+		Ahead: q.ahead(w.key), Running: q.running, Limit: d.limit(q),
+		Service: q.service.value, ReadyIn: q.readyIn(now),
+	}
+}
+
+// limit returns how many requests of the queue may be in service at once.
+func (d *Desk) limit(q *queue) int {
+	limit := 0
+	for _, replica := range q.replicas {
+		if replica.State == cells.ReplicaReady {
+			limit += int(d.window(replica).limit)
+		}
+	}
+	return limit
+}
+
+// comeBack returns when the queue is expected to be empty.
+func (d *Desk) comeBack(q *queue, now time.Time) time.Duration {
+	load := Load{Ahead: len(q.waiting), Running: q.running, Limit: d.limit(q), Service: q.service.value, ReadyIn: q.readyIn(now)}
+	return min(Expect(load), maxRetryAfter)
+}
+
+func (d *Desk) queue(model cardamom.ModelID) *queue {
+	q, ok := d.queues[model]
+	if !ok {
+		q = &queue{model: model}
+		d.queues[model] = q
+	}
+	return q
+}
+
+func (d *Desk) window(replica cells.Replica) *window {
+	w, ok := d.windows[replica.Upstream]
+	if !ok {
+		w = newWindow(replica.Slots, d.followers)
+		d.windows[replica.Upstream] = w
+	}
+	return w
+}
+
+// dispatch gives places to the waiting requests of a queue, best first.
+func (d *Desk) dispatch(q *queue) {
+	for d.dispatchHead(q) {
+		continue
+	}
+}
+
+// dispatchHead gives the first waiting request a place if there is one.
+func (d *Desk) dispatchHead(q *queue) bool {
+	w := q.head()
+	if w == nil {
+		return false
+	}
+	replica, ok := d.pick(q, w.ticket)
+	if !ok {
+		return false
+	}
+	q.remove(w)
+	q.running++
+	q.started++
+	d.window(replica).take(w.ticket.Suspect)
+	d.seats[replica.Seat]++
+	w.granted <- grant{replica: replica}
+	return true
+}
+
+// pick returns the ready replica with the emptiest window. The upstream to
+// avoid is taken only if there is no other.
+func (d *Desk) pick(q *queue, ticket Ticket) (cells.Replica, bool) {
+	var best cells.Replica
+	found := false
+	least := 0.0
+	for _, replica := range q.replicas {
+		window := d.window(replica)
+		if replica.State != cells.ReplicaReady || !window.open(ticket.Suspect) {
+			continue
+		}
+		fill := float64(window.inflight) / window.limit
+		if replica.Upstream == ticket.Avoid {
+			fill++
+		}
+		if !found || fill < least {
+			best, found, least = replica, true, fill
+		}
+	}
+	return best, found
+}
+
+func (d *Desk) release(p *Pass, result Result, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queue(p.ticket.Model)
+	q.running--
+	d.leave(p.ticket)
+	d.window(p.replica).release(p.ticket.Suspect)
+	d.seats[p.replica.Seat]--
+	if d.seats[p.replica.Seat] == 0 {
+		delete(d.seats, p.replica.Seat)
+	}
+	if result == Done {
+		q.service.add(now.Sub(p.started))
+	}
+	d.dispatchUpstream(p.replica.Upstream)
+}
+
+func (d *Desk) leave(ticket Ticket) {
+	d.callers[ticket.Caller]--
+	if d.callers[ticket.Caller] <= 0 {
+		delete(d.callers, ticket.Caller)
+	}
+}
+
+// dispatchUpstream serves the queues that have a replica on the upstream, the
+// one whose head is due first before the others.
+func (d *Desk) dispatchUpstream(upstream cardamom.UpstreamID) {
+	for {
+		var first *queue
+		for _, q := range d.queues {
+			if q.head() == nil || !q.on(upstream) {
+				continue
+			}
+			if _, ok := d.pick(q, q.head().ticket); !ok {
+				continue
+			}
+			if first == nil || q.head().key.Before(first.head().key) {
+				first = q
+			}
+		}
+		if first == nil || !d.dispatchHead(first) {
+			return
+		}
+	}
+}
+
+func (q *queue) on(upstream cardamom.UpstreamID) bool {
+	for _, replica := range q.replicas {
+		if replica.Upstream == upstream {
+			return true
+		}
+	}
+	return false
+}
+
+// abandon takes a waiting request out and tells whether it still waited.
+func (d *Desk) abandon(w *waiter) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queue(w.ticket.Model)
+	if !q.remove(w) {
+		return false
+	}
+	d.leave(w.ticket)
+	return true
+}
+
+// Update takes the replicas of a cell's models and how many instances follow it.
+func (d *Desk) Update(cell cardamom.CellID, replicas map[cardamom.ModelID][]cells.Replica, followers int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.followers = followers
+	seen := make(map[cardamom.UpstreamID]bool)
+	for model, list := range replicas {
+		q := d.queue(model)
+		d.cells[model] = cell
+		q.replicas = list
+		for _, replica := range list {
+			if !seen[replica.Upstream] {
+				d.window(replica).adjust(replica)
+				seen[replica.Upstream] = true
+			}
+		}
+	}
+	for model, q := range d.queues {
+		if d.cells[model] != cell {
+			continue
+		}
+		if _, present := replicas[model]; !present {
+			q.replicas = nil
+		}
+		q.warm(now)
+		d.dispatch(q)
+	}
+}
+
+// warm ends the measurement of a cold wait when a replica is ready.
+func (q *queue) warm(now time.Time) {
+	if q.coldSince.IsZero() {
+		return
+	}
+	for _, replica := range q.replicas {
+		if replica.State == cells.ReplicaReady {
+			q.coldWait.add(now.Sub(q.coldSince))
+			q.coldSince = time.Time{}
+			return
+		}
+	}
+}
+
+// Sweep refuses the waiting requests that can't be finished in time any more.
+func (d *Desk) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for model, q := range d.queues {
+		least := time.Duration(sweepMargin * float64(q.service.value))
+		for _, w := range append(waiters(nil), q.waiting...) {
+			if now.Add(least).Before(w.ticket.Deadline) {
+				continue
+			}
+			q.remove(w)
+			d.leave(w.ticket)
+			refusal := cardamom.Refuse(cardamom.ReasonDeadline, "not started early enough to finish in time")
+			w.granted <- grant{refusal: refusal.After(d.comeBack(q, now))}
+		}
+		if q.idle() && len(q.replicas) == 0 && q.coldSince.IsZero() && q.service.value == 0 {
+			delete(d.queues, model)
+		}
+	}
+}
+
+// Uses returns what this instance does with the models of a cell and where it
+// has requests in progress. Starts are counted since the last call.
+func (d *Desk) Uses(cell cardamom.CellID) ([]cells.Use, []cells.Seat) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var uses []cells.Use
+	for model, q := range d.queues {
+		if d.cells[model] != cell || q.idle() {
+			continue
+		}
+		uses = append(uses, q.use())
+		q.started = 0
+	}
+	var busy []cells.Seat
+	for seat := range d.seats {
+		if d.cells[seat.Model] == cell {
+			busy = append(busy, seat)
+		}
+	}
+	return uses, busy
+}
+
+func (q *queue) use() cells.Use {
+	use := cells.Use{Model: q.model, Waiting: len(q.waiting), Running: q.running, Started: q.started}
+	if head := q.head(); head != nil {
+		use.Urgent = head.ticket.Deadline
+		use.Priority = head.ticket.Priority
+	}
+	return use
+}
+
+// Waiting returns how many requests wait and how many run.
+func (d *Desk) Waiting() (waiting, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, q := range d.queues {
+		waiting += len(q.waiting)
+		running += q.running
+	}
+	return waiting, running
+}
--- /dev/null
+++ b/cells/use.go
@@ -0,0 +1,132 @@
+package cells
+
+import (
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/keep"
+)
+
+// Use is what one instance does with one model.
+type Use struct {
+	Model    cardamom.ModelID
+	Waiting  int
+	Running  int
+	Started  int
+	Urgent   time.Time
+	Priority int
+}
+
+// Seat is a model on an upstream.
+type Seat struct {
+	Model    cardamom.ModelID
+	Upstream cardamom.UpstreamID
+}
+
+// Watch is what an instance that follows the cell says of itself.
+type Watch struct {
+	Instance cardamom.InstanceID
+	// Seq is the last change the instance has applied.
+	Seq  uint64
+	Uses []Use
+	// Busy lists where the instance has requests in progress.
+	Busy []Seat
+}
+
+// watcher is an instance that follows the cell.
+type watcher struct {
+	seq  uint64
+	uses map[cardamom.ModelID]Use
+	busy map[Seat]bool
+	seen time.Time
+}
+
+// Used takes what an instance that follows the cell says of itself.
+func (c *Cell) Used(watch Watch, now time.Time) {
+	w, ok := c.watchers[watch.Instance]
+	if !ok {
+		w = &watcher{}
+		c.watchers[watch.Instance] = w
+	}
+	w.seq = watch.Seq
+	w.seen = now
+	w.uses = make(map[cardamom.ModelID]Use, len(watch.Uses))
+	for _, use := range watch.Uses {
+		w.uses[use.Model] = use
+		c.touch(use.Model, now)
+	}
+	w.busy = make(map[Seat]bool, len(watch.Busy))
+	for _, seat := range watch.Busy {
+		w.busy[seat] = true
+	}
+}
+
+// touch records a use of the model and of its base.
+func (c *Cell) touch(model cardamom.ModelID, now time.Time) {
+	c.historyOf(model).Use(now)
+	if known, ok := c.document.Model(model); ok && known.Base() != "" {
+		c.historyOf(known.Base()).Use(now)
+	}
+}
+
+func (c *Cell) historyOf(model cardamom.ModelID) *keep.History {
+	history, ok := c.history[model]
+	if !ok {
+		history = &keep.History{}
+		c.history[model] = history
+	}
+	return history
+}
+
+// Unwatch forgets an instance that no longer follows the cell.
+func (c *Cell) Unwatch(instance cardamom.InstanceID) { delete(c.watchers, instance) }
+
+// Watchers returns how many instances follow the cell.
+func (c *Cell) Watchers() int { return len(c.watchers) }
+
+// demand is the use of one model over all watchers.
+type demand struct {
+	model    cardamom.ModelID
+	waiting  int
+	running  int
+	urgent   time.Time
+	priority int
+}
+
+func (c *Cell) demands(now time.Time) map[cardamom.ModelID]demand {
+	demands := make(map[cardamom.ModelID]demand)
+	for id, w := range c.watchers {
+		if now.Sub(w.seen) > watcherExpiry {
+			delete(c.watchers, id)
+			continue
+		}
+		for model, use := range w.uses {
+			demands[model] = demands[model].add(use)
+		}
+	}
+	return demands
+}
+
+func (d demand) add(use Use) demand {
+	first := d.model == ""
+	d.model = use.Model
+	d.waiting += use.Waiting
+	d.running += use.Running
+	if use.Waiting > 0 && (d.urgent.IsZero() || use.Urgent.Before(d.urgent)) {
+		d.urgent = use.Urgent
+	}
+	if first || use.Priority < d.priority {
+		d.priority = use.Priority
+	}
+	return d
+}
+
+// drained tells whether no follower can still send to the seat.
+func (c *Cell) drained(seat Seat, seq uint64) bool {
+	for _, w := range c.watchers {
+		if w.seq < seq || w.busy[seat] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/claim/shard.go
@@ -0,0 +1,241 @@
+// Package claim makes a request with a key run at most once.
+//
+// Keys are spread over shards. One instance owns a shard and grants each key
+// once; the grant is stored with the owner's witness before it is given. A
+// resend gets the kept result, or the word that the request ran or may have.
+//
+// # Usage
+//
+//	shard := claim.NewShard(keep)
+//	answer := shard.Ask(claim.Ask{Key: "label-17", Grant: "entry-1/9"}, now)
+//	if answer.Verdict == claim.Granted { ... }
+//	shard.Settle(claim.Settle{Key: "label-17", Grant: "entry-1/9", Outcome: cardamom.Served}, now)
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/hold"
+)
+
+// MaxResult is the greatest result in bytes that is kept for a resend.
+const MaxResult = 16 << 10
+
+// Verdict is the owner's answer about a key.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted means the request may run now.
+	Granted Verdict = iota + 1
+	// Running means an earlier send was granted and has not ended.
+	Running
+	// Ran means an earlier send was served.
+	Ran
+	// Unsure means an earlier send failed after it may have run.
+	Unsure
+	// Reused means the key was used for another request.
+	Reused
+	// Lost means an earlier send may have been forgotten.
+	Lost
+	// Unavailable means the owner can't grant now; nothing was granted.
+	Unavailable
+)
+
+// Result is a kept answer.
+type Result struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Ask is a request for a grant.
+type Ask struct {
+	Key         string
+	Fingerprint uint64
+	// Issue is the issue number of the caller's address answer, 0 if none.
+	Issue uint64
+	// Grant identifies this try. A repeated ask carries the same.
+	Grant string
+}
+
+// Settle tells how a granted request ended.
+type Settle struct {
+	Key     string
+	Grant   string
+	Outcome cardamom.Outcome
+	Result  Result
+}
+
+// Answer is the reply to an ask.
+type Answer struct {
+	Verdict Verdict
+	Result  Result
+}
+
+// claim is the state of one key.
+type claim struct {
+	fingerprint uint64
+	grant       string
+	verdict     Verdict
+	result      Result
+	expires     time.Time
+}
+
+// Shard is the state of one shard's keys. It is owned by one goroutine.
+type Shard struct {
+	claims  map[string]*claim
+	keep    time.Duration
+	lossy   uint64
+	lostAt  time.Time
+	swept   time.Time
+	changes []hold.Entry
+}
+
+// NewShard returns a shard without claims that remembers each for the time.
+func NewShard(keep time.Duration) *Shard {
+	return &Shard{claims: make(map[string]*claim), keep: keep}
+}
+
+// Lose notes that claims before the version were lost. Until the keep time has
+// passed, only keys of callers with a later issue number are known to be new.
+func (s *Shard) Lose(version uint64, now time.Time) {
+	if version <= s.lossy {
+		return
+	}
+	s.lossy = version
+	s.lostAt = now
+}
+
+// Ask decides whether the request may run.
+func (s *Shard) Ask(ask Ask, now time.Time) Answer {
+	s.sweep(now)
+	known, ok := s.claims[ask.Key]
+	if !ok {
+		if s.mayBeLost(ask, now) {
+			return Answer{Verdict: Lost}
+		}
+		known = &claim{fingerprint: ask.Fingerprint, grant: ask.Grant, verdict: Running}
+		s.put(ask.Key, known, now)
+		return Answer{Verdict: Granted}
+	}
+	if known.fingerprint != ask.Fingerprint {
+		return Answer{Verdict: Reused}
+	}
+	if known.verdict == Running && known.grant == ask.Grant {
+		return Answer{Verdict: Granted}
+	}
+	return Answer{Verdict: known.verdict, Result: known.result}
+}
+
+func (s *Shard) mayBeLost(ask Ask, now time.Time) bool {
+	if s.lossy == 0 || now.Sub(s.lostAt) > s.keep {
+		return false
+	}
+	return ask.Issue < s.lossy
+}
+
+// Settle records how a granted request ended. A request that was not run may
+// be granted again. A settle of another grant changes nothing.
+func (s *Shard) Settle(settle Settle, now time.Time) {
+	known, ok := s.claims[settle.Key]
+	if !ok || known.grant != settle.Grant || known.verdict != Running {
+		return
+	}
+	switch settle.Outcome {
+	case cardamom.NotRun:
+		delete(s.claims, settle.Key)
+		s.changes = append(s.changes, hold.Entry{ID: settle.Key, Dropped: true})
+		return
+	case cardamom.Served:
+		known.verdict = Ran
+		if len(settle.Result.Body) <= MaxResult {
+			known.result = settle.Result
+		}
+	default:
+		known.verdict = Unsure
+	}
+	s.put(settle.Key, known, now)
+}
+
+func (s *Shard) put(key string, c *claim, now time.Time) {
+	c.expires = now.Add(s.keep)
+	s.claims[key] = c
+	s.changes = append(s.changes, hold.Entry{ID: key, Body: c.encode()})
+}
+
+// sweepEvery is the time between two searches for expired claims.
+const sweepEvery = time.Second
+
+func (s *Shard) sweep(now time.Time) {
+	if now.Sub(s.swept) < sweepEvery {
+		return
+	}
+	s.swept = now
+	for key, c := range s.claims {
+		if c.expires.Before(now) {
+			delete(s.claims, key)
+			s.changes = append(s.changes, hold.Entry{ID: key, Dropped: true})
+		}
+	}
+}
+
+// Changes returns the entries that changed since the last call.
+func (s *Shard) Changes() []hold.Entry {
+	changes := s.changes
+	s.changes = nil
+	return changes
+}
+
+// Entries returns all claims in the form kept with the witness.
+func (s *Shard) Entries() []hold.Entry {
+	entries := make([]hold.Entry, 0, len(s.claims))
+	for key, c := range s.claims {
+		entries = append(entries, hold.Entry{ID: key, Body: c.encode()})
+	}
+	return entries
+}
+
+// Len returns how many keys are remembered.
+func (s *Shard) Len() int { return len(s.claims) }
+
+type claimWire struct {
+	Fingerprint uint64 `json:"f"`
+	Grant       string `json:"g"`
+	Verdict     uint8  `json:"v"`
+	Status      int    `json:"s,omitempty"`
+	ContentType string `json:"t,omitempty"`
+	Body        []byte `json:"b,omitempty"`
+}
+
+func (c *claim) encode() []byte {
+	body, err := json.Marshal(claimWire{
+		Fingerprint: c.fingerprint, Grant: c.grant, Verdict: uint8(c.verdict),
+		Status: c.result.Status, ContentType: c.result.ContentType, Body: c.result.Body,
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// Adopt takes the claims that a witness kept. They are remembered anew for the
+// whole keep time.
+func (s *Shard) Adopt(entries []hold.Entry, now time.Time) error {
+	for _, entry := range entries {
+		var wire claimWire
+		if err := json.Unmarshal(entry.Body, &wire); err != nil {
+			return eris.Wrapf(err, "decode claim %s", entry.ID)
+		}
+		s.claims[entry.ID] = &claim{
+			fingerprint: wire.Fingerprint, grant: wire.Grant, verdict: Verdict(wire.Verdict),
+			result:  Result{Status: wire.Status, ContentType: wire.ContentType, Body: wire.Body},
+			expires: now.Add(s.keep),
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/cardload/fault.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+)
+
+// fault brings about one fault of the scenario at its times.
+func (e *experiment) fault(ctx context.Context, wire faultWire) {
+	if !wait(ctx, time.Duration(wire.AtMS)*time.Millisecond) {
+		return
+	}
+	for n := range max(wire.Times, 1) {
+		if n > 0 && !wait(ctx, time.Duration(wire.EveryMS)*time.Millisecond) {
+			return
+		}
+		if err := e.bringAbout(wire); err != nil {
+			fmt.Fprintln(os.Stderr, "fault", wire.Do, wire.Target, "failed:", err)
+		}
+	}
+}
+
+func (e *experiment) bringAbout(wire faultWire) error {
+	switch wire.Do {
+	case "kill":
+		return e.fleet.Kill(wire.Target)
+	case "pause":
+		return e.fleet.Pause(wire.Target)
+	case "resume":
+		return e.fleet.Resume(wire.Target)
+	case "restart":
+		return e.fleet.Restart(wire.Target)
+	case "terminate":
+		return e.fleet.Terminate(wire.Target)
+	case "proxy":
+		return e.fleet.Faults(wire.Target, wire.Proxy...)
+	case "table":
+		return e.fleet.TableFaults(wire.Table)
+	case "list":
+		return e.fleet.ListFaults(wire.List)
+	case "weights":
+		return e.fleet.SlowWeights(wire.Factor)
+	case "leave":
+		return e.fleet.Leave(wire.Target)
+	default:
+		return fmt.Errorf("unknown fault %q", wire.Do)
+	}
+}
--- /dev/null
+++ b/conf/settings.go
@@ -0,0 +1,235 @@
+// Package conf reads and checks settings files: JSON with comments, held
+// against a schema, every fault named with its key and line.
+//
+// # Usage
+//
+//	settings, err := conf.Load("cardd.jsonc")
+//	var check *conf.CheckError
+//	if errors.As(err, &check) {
+//		for _, fault := range check.Faults() { ... }
+//	}
+package conf
+
+import (
+	_ "embed"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+//go:embed schema.json
+var schema []byte
+
+// Settings are what one instance is started with. Times are durations, sizes bytes.
+type Settings struct {
+	instance      cardamom.Instance
+	table         string
+	list          string
+	tableTimeout  time.Duration
+	tablePoll     time.Duration
+	exchange      time.Duration
+	suspect       time.Duration
+	digestBytes   int
+	report        time.Duration
+	engineTimeout time.Duration
+	maxBody       int64
+	addressTTL    time.Duration
+	drain         time.Duration
+	claimShards   int
+	claimKeep     time.Duration
+	logLevel      string
+	traceURL      string
+	traceFile     string
+	traceShare    float64
+}
+
+// Instance returns who and where this instance is.
+func (s *Settings) Instance() cardamom.Instance { return s.instance }
+
+// Table returns the address of the platform's table.
+func (s *Settings) Table() string { return s.table }
+
+// List returns the address of the platform's list.
+func (s *Settings) List() string { return s.list }
+
+// TableTimeout returns the greatest time of one call to the platform.
+func (s *Settings) TableTimeout() time.Duration { return s.tableTimeout }
+
+// TablePoll returns the time between two readings of the platform.
+func (s *Settings) TablePoll() time.Duration { return s.tablePoll }
+
+// Exchange returns the time between two digests sent.
+func (s *Settings) Exchange() time.Duration { return s.exchange }
+
+// Suspect returns after how long without word an instance is suspected.
+func (s *Settings) Suspect() time.Duration { return s.suspect }
+
+// DigestBytes returns the greatest size of a digest in bytes.
+func (s *Settings) DigestBytes() int { return s.digestBytes }
+
+// Report returns the time between two reports of an engine.
+func (s *Settings) Report() time.Duration { return s.report }
+
+// EngineTimeout returns the greatest time of one order or report.
+func (s *Settings) EngineTimeout() time.Duration { return s.engineTimeout }
+
+// MaxBody returns the greatest request body in bytes.
+func (s *Settings) MaxBody() int64 { return s.maxBody }
+
+// AddressTTL returns how long callers may keep an address answer.
+func (s *Settings) AddressTTL() time.Duration { return s.addressTTL }
+
+// Drain returns how long a shutdown waits for requests in progress.
+func (s *Settings) Drain() time.Duration { return s.drain }
+
+// ClaimShards returns over how many shards the keys are spread.
+func (s *Settings) ClaimShards() int { return s.claimShards }
+
+// ClaimKeep returns how long a key is remembered after its request ended.
+func (s *Settings) ClaimKeep() time.Duration { return s.claimKeep }
+
+// LogLevel returns the least level that is logged.
+func (s *Settings) LogLevel() string { return s.logLevel }
+
+// TraceURL returns where spans are sent by OTLP, empty for nowhere.
+func (s *Settings) TraceURL() string { return s.traceURL }
+
+// TraceFile returns the file spans are written to, empty for none.
+func (s *Settings) TraceFile() string { return s.traceFile }
+
+// TraceShare returns the share of new traces that is recorded, 0 to 1.
+func (s *Settings) TraceShare() float64 { return s.traceShare }
+
+type settingsWire struct {
+	Instance      string `json:"instance"`
+	Place         string `json:"place"`
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	Platform      struct {
+		Table     string `json:"table"`
+		List      string `json:"list"`
+		TimeoutMS int64  `json:"timeout_ms"`
+		PollMS    int64  `json:"poll_ms"`
+	} `json:"platform"`
+	Peers struct {
+		ExchangeMS  int64 `json:"exchange_ms"`
+		SuspectMS   int64 `json:"suspect_ms"`
+		DigestBytes int   `json:"digest_bytes"`
+	} `json:"peers"`
+	Engines struct {
+		ReportMS  int64 `json:"report_ms"`
+		TimeoutMS int64 `json:"timeout_ms"`
+	} `json:"engines"`
+	Requests struct {
+		MaxBodyKB    int64 `json:"max_body_kb"`
+		AddressTTLMS int64 `json:"address_ttl_ms"`
+		DrainMS      int64 `json:"drain_ms"`
+		ClaimShards  int   `json:"claim_shards"`
+		ClaimKeepMS  int64 `json:"claim_keep_ms"`
+	} `json:"requests"`
+	LogLevel string `json:"log_level"`
+	Trace    struct {
+		OTLPURL string   `json:"otlp_url"`
+		File    string   `json:"file"`
+		Share   *float64 `json:"share"`
+	} `json:"trace"`
+}
+
+// Defaults of the settings.
+const (
+	defaultPlatformTimeoutMS = 2000
+	defaultPollMS            = 1000
+	defaultExchangeMS        = 300
+	defaultSuspectMS         = 2500
+	defaultDigestBytes       = 4096
+	defaultReportMS          = 200
+	defaultEngineTimeoutMS   = 1000
+	defaultMaxBodyKB         = 1024
+	defaultAddressTTLMS      = 5000
+	defaultDrainMS           = 30000
+	defaultClaimShards       = 8
+	defaultClaimKeepMS       = 600000
+	defaultLogLevel          = "info"
+	defaultTraceShare        = 1
+	bytesPerKB               = 1024
+)
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(path, body)
+}
+
+// Parse checks settings and returns them. The error is a *CheckError.
+func Parse(name string, body []byte) (*Settings, error) {
+	var wire settingsWire
+	source, err := Decode(name, body, schema, &wire)
+	if err != nil {
+		return nil, err
+	}
+	settings := wire.domain()
+	settings.check(source)
+	if err := source.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// check holds settings against each other.
+func (s *Settings) check(source *Source) {
+	if s.suspect < 3*s.exchange {
+		source.Faultf([]string{"peers", "suspect_ms"}, "must be at least three times exchange_ms (%v)", s.exchange)
+	}
+	if s.instance.CallerAddress == s.instance.PeerAddress {
+		source.Faultf([]string{"peer_address"}, "must differ from caller_address")
+	}
+}
+
+func (w *settingsWire) domain() *Settings {
+	share := float64(defaultTraceShare)
+	if w.Trace.Share != nil {
+		share = *w.Trace.Share
+	}
+	return &Settings{
+		instance: cardamom.Instance{
+			ID: cardamom.InstanceID(w.Instance), Place: cardamom.Place(w.Place),
+			CallerAddress: w.CallerAddress, PeerAddress: w.PeerAddress, State: cardamom.Live,
+		},
+		table:         w.Platform.Table,
+		list:          w.Platform.List,
+		tableTimeout:  millis(w.Platform.TimeoutMS, defaultPlatformTimeoutMS),
+		tablePoll:     millis(w.Platform.PollMS, defaultPollMS),
+		exchange:      millis(w.Peers.ExchangeMS, defaultExchangeMS),
+		suspect:       millis(w.Peers.SuspectMS, defaultSuspectMS),
+		digestBytes:   or(w.Peers.DigestBytes, defaultDigestBytes),
+		report:        millis(w.Engines.ReportMS, defaultReportMS),
+		engineTimeout: millis(w.Engines.TimeoutMS, defaultEngineTimeoutMS),
+		maxBody:       or(w.Requests.MaxBodyKB, defaultMaxBodyKB) * bytesPerKB,
+		addressTTL:    millis(w.Requests.AddressTTLMS, defaultAddressTTLMS),
+		drain:         millis(w.Requests.DrainMS, defaultDrainMS),
+		claimShards:   or(w.Requests.ClaimShards, defaultClaimShards),
+		claimKeep:     millis(w.Requests.ClaimKeepMS, defaultClaimKeepMS),
+		logLevel:      or(w.LogLevel, defaultLogLevel),
+		traceURL:      w.Trace.OTLPURL,
+		traceFile:     w.Trace.File,
+		traceShare:    share,
+	}
+}
+
+func millis(value, fallback int64) time.Duration {
+	return time.Duration(or(value, fallback)) * time.Millisecond
+}
+
+func or[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/conf/source.go
@@ -0,0 +1,168 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Fault is one error in a settings file.
+type Fault struct {
+	key  string
+	line int
+	text string
+}
+
+// Key returns the dotted path of the faulty key.
+func (f Fault) Key() string { return f.key }
+
+// Line returns the line of the key, from 1.
+func (f Fault) Line() int { return f.line }
+
+// Text returns the explanation.
+func (f Fault) Text() string { return f.text }
+
+// CheckError lists every fault of a settings file.
+type CheckError struct {
+	name   string
+	faults []Fault
+}
+
+// Faults returns the faults in order of line.
+func (e *CheckError) Faults() []Fault { return e.faults }
+
+// Error returns one line per fault: file:line: key: text.
+func (e *CheckError) Error() string {
+	lines := make([]string, 0, len(e.faults))
+	for _, f := range e.faults {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", e.name, f.line, f.key, f.text))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Source is a checked file that can still tell the line of each key.
+type Source struct {
+	name   string
+	body   []byte
+	tree   hujson.Value
+	faults []Fault
+}
+
+// Decode parses JSON with comments, checks it against the schema and fills into.
+// The error is a *CheckError that names every fault.
+func Decode(name string, body, schema []byte, into any) (*Source, error) {
+	source := &Source{name: name, body: body}
+	tree, err := hujson.Parse(body)
+	if err != nil {
+		source.faults = append(source.faults, syntaxFault(err))
+		return nil, source.Err()
+	}
+	source.tree = tree
+	plain := tree.Clone()
+	plain.Standardize()
+	if err := source.checkSchema(plain.Pack(), schema); err != nil {
+		return nil, err
+	}
+	if err := source.Err(); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(plain.Pack(), into); err != nil {
+		source.Faultf(nil, "%v", err)
+		return nil, source.Err()
+	}
+	return source, nil
+}
+
+// Faultf records a fault at the key with that path.
+func (s *Source) Faultf(path []string, format string, args ...any) {
+	key := strings.Join(path, ".")
+	if key == "" {
+		key = "(file)"
+	}
+	s.faults = append(s.faults, Fault{key: key, line: s.line(path), text: fmt.Sprintf(format, args...)})
+}
+
+// Err returns the recorded faults as a *CheckError, nil if there are none.
+func (s *Source) Err() error {
+	if len(s.faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(s.faults, func(i, j int) bool { return s.faults[i].line < s.faults[j].line })
+	return &CheckError{name: s.name, faults: s.faults}
+}
+
+func (s *Source) checkSchema(plain, schema []byte) error {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return eris.Wrap(err, "parse schema")
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("schema.json", parsed); err != nil {
+		return eris.Wrap(err, "add schema")
+	}
+	compiled, err := compiler.Compile("schema.json")
+	if err != nil {
+		return eris.Wrap(err, "compile schema")
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(plain))
+	if err != nil {
+		s.Faultf(nil, "%v", err)
+		return nil
+	}
+	var invalid *jsonschema.ValidationError
+	if err := compiled.Validate(value); errors.As(err, &invalid) {
+		s.addInvalid(invalid)
+	}
+	return nil
+}
+
+// addInvalid records the leaves of a schema error tree.
+func (s *Source) addInvalid(invalid *jsonschema.ValidationError) {
+	if len(invalid.Causes) == 0 {
+		text := invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+		s.Faultf(invalid.InstanceLocation, "%s", text)
+	}
+	for _, cause := range invalid.Causes {
+		s.addInvalid(cause)
+	}
+}
+
+// line returns the line of the deepest part of path that exists.
+func (s *Source) line(path []string) int {
+	for n := len(path); n >= 0; n-- {
+		value := s.tree.Find(pointer(path[:n]))
+		if value != nil {
+			return 1 + bytes.Count(s.body[:min(value.StartOffset, len(s.body))], []byte("\n"))
+		}
+	}
+	return 1
+}
+
+func pointer(path []string) string {
+	var text strings.Builder
+	for _, token := range path {
+		token = strings.ReplaceAll(token, "~", "~0")
+		token = strings.ReplaceAll(token, "/", "~1")
+		text.WriteString("/" + token)
+	}
+	return text.String()
+}
+
+// syntaxFault takes the line out of a parser error.
+func syntaxFault(err error) Fault {
+	line := 1
+	text := err.Error()
+	if _, after, ok := strings.Cut(text, "line "); ok {
+		_, _ = fmt.Sscanf(after, "%d", &line)
+	}
+	return Fault{key: "(syntax)", line: line, text: text}
+}
--- /dev/null
+++ b/ctrl/holds.go
@@ -0,0 +1,306 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/claim"
+	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/peerpb"
+	"cardamomcourse.example/cardamom/policy"
+	"cardamomcourse.example/cardamom/route"
+	"cardamomcourse.example/cardamom/route/rank"
+	"cardamomcourse.example/cardamom/table"
+)
+
+// ErrRefused means a witness has seen a newer fence.
+var ErrRefused = eris.New("witness refused the record")
+
+// heldShard is a claim shard that this instance owns.
+type heldShard struct {
+	resource hold.Resource
+	owner    *claim.Owner
+	cancel   context.CancelFunc
+}
+
+// committed is the result of writing a hold.
+type committed struct {
+	resource hold.Resource
+	kind     hold.Kind
+	row      hold.Row
+	err      error
+}
+
+// lookAtHolds takes the due step for each resource.
+func (l *Loop) lookAtHolds(now time.Time) {
+	if l.published == nil || l.list == nil {
+		return
+	}
+	for n := range l.options.Settings.ClaimShards() {
+		l.lookAtHold(claim.ShardResource(n), now)
+	}
+	for _, service := range l.published.Document().Services() {
+		for _, cell := range service.Cells() {
+			l.lookAtHold(cellResource(cell), now)
+		}
+	}
+}
+
+func (l *Loop) lookAtHold(resource hold.Resource, now time.Time) {
+	if l.busy[resource] {
+		return
+	}
+	row := l.peers.Hold(resource)
+	if row.Version() == 0 && !l.rowsRead {
+		return
+	}
+	step := hold.Decide(row, hold.NewSelf(l.peers.Party(), l.leaving), l.ranked(resource, now), l.peers.At(now))
+	if step.Kind() == hold.Keep {
+		return
+	}
+	l.busy[resource] = true
+	l.options.Logger.Info("hold_step", "resource", resource, "step", step.Kind(),
+		"holder", step.Row().Holder().ID(), "witness", step.Row().Witness().ID(), "version", row.Version())
+	l.startStep(row, step)
+}
+
+// ranked returns the instances that may hold a resource, best first.
+func (l *Loop) ranked(resource hold.Resource, now time.Time) []cardamom.InstanceID {
+	active := l.peers.Active(now)
+	all := make([]cardamom.InstanceID, 0, len(active))
+	for _, member := range active {
+		all = append(all, member.Instance().ID)
+	}
+	all = rank.Order(string(resource), all)
+	cell, isCell := strings.CutPrefix(string(resource), cellPrefix)
+	if !isCell {
+		return all
+	}
+	local := rank.Order(string(resource), route.Followers(cardamom.CellID(cell), active))
+	return appendMissing(local, all)
+}
+
+func appendMissing(list, more []cardamom.InstanceID) []cardamom.InstanceID {
+	present := make(map[cardamom.InstanceID]bool, len(list))
+	for _, id := range list {
+		present[id] = true
+	}
+	for _, id := range more {
+		if !present[id] {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// startStep carries out a step beside the loop: a new witness first gets a
+// copy, then the row is written.
+func (l *Loop) startStep(row hold.Row, step hold.Step) {
+	prepare := l.prepare(row, step)
+	l.start(func(ctx context.Context) event {
+		if err := prepare(ctx); err != nil {
+			return committed{resource: row.Resource(), kind: step.Kind(), row: row, err: err}
+		}
+		value, err := step.Row().Encode()
+		if err != nil {
+			return committed{resource: row.Resource(), kind: step.Kind(), row: row, err: err}
+		}
+		version, err := l.options.Store.Commit(ctx, table.Put(row.Key(), row.Version(), value))
+		next, decodeErr := hold.Decode(row.Key(), value, version)
+		if err == nil {
+			err = decodeErr
+		}
+		return committed{resource: row.Resource(), kind: step.Kind(), row: next, err: err}
+	})
+}
+
+// prepare returns what must be done before a step's row may be written.
+func (l *Loop) prepare(row hold.Row, step hold.Step) func(ctx context.Context) error {
+	nothing := func(context.Context) error { return nil }
+	target := step.Row().Witness()
+	if step.Kind() == hold.Give {
+		target = step.Row().Holder()
+	}
+	if step.Kind() == hold.Take || target.None() {
+		return nothing
+	}
+	recorder := l.recorder(target)
+	if held, ok := l.cells[row.Resource()]; ok {
+		held.paused = true
+		record := hold.Record{Resource: row.Resource(), Fence: row.Fence(), Reset: true, Entries: held.entries()}
+		return func(ctx context.Context) error { return recorder.Record(ctx, record) }
+	}
+	if held, ok := l.shards[row.Resource()]; ok {
+		return func(ctx context.Context) error { return held.owner.Copy(ctx, recorder, row.Fence()) }
+	}
+	return nothing
+}
+
+// recorder returns the way to the memory of a witness.
+func (l *Loop) recorder(witness hold.Party) claim.Recorder {
+	address := l.peerAddress(witness.ID())
+	client := l.options.Dialer.Dial(address)
+	holder := string(l.peers.Party().ID())
+	timeout := l.options.Settings.EngineTimeout()
+	return claim.RecorderFunc(func(ctx context.Context, record hold.Record) error {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		request := &peerpb.RecordRequest{
+			Resource: string(record.Resource), Fence: uint64(record.Fence), Holder: holder, Reset_: record.Reset,
+		}
+		for _, entry := range record.Entries {
+			request.Entries = append(request.Entries, &peerpb.Entry{Id: entry.ID, Body: entry.Body, Dropped: entry.Dropped})
+		}
+		reply, err := client.Record(limited, request)
+		if err != nil {
+			return eris.Wrap(err, "record")
+		}
+		if reply.GetRefused() {
+			return ErrRefused
+		}
+		return nil
+	})
+}
+
+func (e committed) apply(l *Loop, now time.Time) {
+	delete(l.busy, e.resource)
+	l.dirty = true
+	if e.err == nil {
+		l.peers.LearnHold(e.row)
+		l.holdChanged(e.resource, now)
+		return
+	}
+	l.options.Logger.Warn("hold_not_written", "resource", e.resource, "step", e.kind, "error", e.err)
+	if errors.Is(e.err, table.ErrUnknown) || errors.Is(e.err, table.ErrConflict) {
+		l.readBack()
+		return
+	}
+	l.holdChanged(e.resource, now)
+}
+
+// readBack learns what the table holds before anything else is tried.
+func (l *Loop) readBack() {
+	l.start(func(ctx context.Context) event {
+		l.readHolds(ctx)
+		return rolesChecked{}
+	})
+}
+
+// rolesChecked makes every role follow the rows known now.
+type rolesChecked struct{}
+
+func (rolesChecked) apply(l *Loop, now time.Time) {
+	for resource := range l.cells {
+		l.holdChanged(resource, now)
+	}
+	for resource := range l.shards {
+		l.holdChanged(resource, now)
+	}
+}
+
+// holdChanged makes this instance's role follow the newest row of a resource.
+func (l *Loop) holdChanged(resource hold.Resource, now time.Time) {
+	row := l.peers.Hold(resource)
+	mine := row.Holder() == l.peers.Party()
+	if strings.HasPrefix(string(resource), claim.Prefix) {
+		l.followShard(row, mine, now)
+		return
+	}
+	l.followCell(row, mine, now)
+}
+
+func (l *Loop) followShard(row hold.Row, mine bool, now time.Time) {
+	held, holding := l.shards[row.Resource()]
+	switch {
+	case mine && !holding:
+		l.takeShard(row, now)
+	case mine:
+		l.openShard(held, row, now)
+	case holding:
+		held.cancel()
+		l.options.Claims.Set(row.Resource(), nil)
+		delete(l.shards, row.Resource())
+		l.options.Logger.Info("shard_lost", "resource", row.Resource(), "holder", row.Holder().ID())
+	}
+}
+
+func (l *Loop) takeShard(row hold.Row, now time.Time) {
+	shard := claim.NewShard(l.options.Settings.ClaimKeep())
+	if err := shard.Adopt(l.witness.Entries(row.Resource()), now); err != nil {
+		l.options.Logger.Error("claims_unreadable", "resource", row.Resource(), "error", err)
+	}
+	if row.Lossy() == row.Version() {
+		shard.Lose(row.Lossy(), now)
+	}
+	l.witness.Forget(row.Resource())
+	l.witness.Raise(row.Resource(), row.Fence())
+	ctx, cancel := context.WithCancel(l.ctx)
+	held := &heldShard{resource: row.Resource(), owner: claim.NewOwner(ctx, row.Resource(), shard), cancel: cancel}
+	l.shards[row.Resource()] = held
+	l.options.Claims.Set(row.Resource(), held.owner)
+	l.options.Logger.Info("shard_held", "resource", row.Resource(), "version", row.Version(), "claims", shard.Len(), "lossy", row.Lossy() == row.Version())
+	l.openShard(held, row, now)
+}
+
+func (l *Loop) openShard(held *heldShard, row hold.Row, _ time.Time) {
+	if l.busy[row.Resource()] {
+		return
+	}
+	var recorder claim.Recorder
+	if !row.Witness().None() {
+		recorder = l.recorder(row.Witness())
+	}
+	l.start(func(ctx context.Context) event {
+		held.owner.Open(ctx, recorder, row.Fence())
+		return nil
+	})
+}
+
+func (l *Loop) followCell(row hold.Row, mine bool, now time.Time) {
+	held, holding := l.cells[row.Resource()]
+	switch {
+	case mine && !holding && l.published != nil:
+		l.takeCell(row, now)
+	case mine && holding:
+		l.reopenCell(held, row)
+	case holding:
+		l.loseCell(held, row)
+	}
+	if f, ok := l.follows[cellOf(row.Resource())]; ok {
+		f.aim(l, row)
+	}
+}
+
+func cellOf(resource hold.Resource) cardamom.CellID {
+	return cardamom.CellID(strings.TrimPrefix(string(resource), cellPrefix))
+}
+
+// serviceOf returns the service that a cell belongs to.
+func serviceOf(document *policy.Document, cell cardamom.CellID) (*policy.Service, bool) {
+	name, _, _ := strings.Cut(string(cell), "/")
+	return document.Service(cardamom.ServiceID(name))
+}
+
+// placementWire is the JSON form of a placement kept with a witness.
+type placementWire struct {
+	Upstream   string `json:"upstream"`
+	Fence      uint64 `json:"fence"`
+	Model      string `json:"model"`
+	Base       string `json:"base,omitempty"`
+	Memory     int    `json:"memory_mb"`
+	Checkpoint int    `json:"checkpoint_mb"`
+}
+
+func encodePlacement(wire placementWire) []byte {
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- /dev/null
+++ b/ctrl/platform.go
@@ -0,0 +1,146 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/policy"
+	"cardamomcourse.example/cardamom/revs"
+	"cardamomcourse.example/cardamom/roster"
+)
+
+// listRead is a reading of the platform's list.
+type listRead struct {
+	list *roster.List
+}
+
+// rowsRead is a reading of all holds.
+type rowsRead struct {
+	rows []hold.Row
+}
+
+// documentRead is a published document from the table or a peer.
+type documentRead struct {
+	published *policy.Published
+	tried     cardamom.Revision
+}
+
+// startReaders polls the platform beside the loop.
+func (l *Loop) startReaders() {
+	poll := l.options.Settings.TablePoll()
+	go l.every(poll, l.readList)
+	go l.every(poll, l.readHolds)
+	go l.every(poll, l.readProfile)
+}
+
+// every runs a call until the loop ends, pausing between the runs.
+func (l *Loop) every(pause time.Duration, call func(ctx context.Context)) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-timer.C:
+			call(l.ctx)
+			timer.Reset(pause)
+		}
+	}
+}
+
+func (l *Loop) readList(ctx context.Context) {
+	list, err := l.options.Lister.Fetch(ctx)
+	if err != nil {
+		l.options.Logger.Debug("list_unavailable", "error", err)
+		return
+	}
+	_ = l.post(ctx, listRead{list: list})
+}
+
+func (e listRead) apply(l *Loop, now time.Time) {
+	l.list = e.list
+	l.peers.Listed(e.list.Instances(), now)
+	for _, held := range l.cells {
+		l.listCell(held, now)
+	}
+	l.dirty = true
+}
+
+func (l *Loop) readHolds(ctx context.Context) {
+	rows, err := l.options.Store.List(ctx, hold.Prefix)
+	if err != nil {
+		l.options.Logger.Debug("table_unavailable", "error", err)
+		return
+	}
+	event := rowsRead{rows: make([]hold.Row, 0, len(rows))}
+	for _, row := range rows {
+		decoded, err := hold.Decode(row.Key(), row.Value(), row.Version())
+		if err != nil {
+			l.options.Logger.Error("hold_unreadable", "key", row.Key(), "error", err)
+			continue
+		}
+		event.rows = append(event.rows, decoded)
+	}
+	_ = l.post(ctx, event)
+}
+
+func (e rowsRead) apply(l *Loop, now time.Time) {
+	l.rowsRead = true
+	for _, row := range e.rows {
+		if l.peers.LearnHold(row) {
+			l.holdChanged(row.Resource(), now)
+		}
+	}
+	l.dirty = true
+}
+
+func (l *Loop) readProfile(ctx context.Context) {
+	head, err := revs.Head(ctx, l.options.Store)
+	if err != nil || head.Number <= l.knownRevision() {
+		return
+	}
+	revision, err := revs.Get(ctx, l.options.Store, head.Number)
+	if err != nil {
+		l.options.Logger.Warn("profile_unreadable", "revision", head.Number, "error", err)
+		return
+	}
+	l.adopt(ctx, revision.Number, revision.Document, revision.Edit, revision.Editor)
+}
+
+// knownRevision returns the revision in force, as the view tells it.
+func (l *Loop) knownRevision() cardamom.Revision {
+	if published := l.options.Views.Load().Published; published != nil {
+		return published.Revision()
+	}
+	return 0
+}
+
+// adopt parses a document and hands it to the loop.
+func (l *Loop) adopt(ctx context.Context, revision cardamom.Revision, body []byte, edit, editor string) {
+	document, err := policy.Parse("published", body)
+	if err != nil {
+		l.options.Logger.Error("profile_invalid", "revision", revision, "error", err)
+		return
+	}
+	_ = l.post(ctx, documentRead{published: policy.NewPublished(revision, document, body, edit, editor), tried: revision})
+}
+
+func (e documentRead) apply(l *Loop, now time.Time) {
+	if l.fetching == e.tried {
+		l.fetching = 0
+	}
+	if e.published == nil || e.published.Revision() <= l.revision() {
+		return
+	}
+	l.published = e.published
+	l.options.Logger.Info("profile_in_force", "revision", e.published.Revision(), "edit", e.published.Edit())
+	for _, held := range l.cells {
+		held.cell.Publish(e.published.Document())
+	}
+	l.lookAtHolds(now)
+	l.syncFollows(now)
+	l.beaten = time.Time{}
+	l.dirty = true
+}
--- /dev/null
+++ b/engine/http.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+// HTTP is the control client of engines with the HTTP interface.
+type HTTP struct {
+	client *http.Client
+}
+
+// NewHTTP returns a client whose calls last at most timeout.
+func NewHTTP(timeout time.Duration) *HTTP {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	return &HTTP{client: &http.Client{Timeout: timeout, Transport: transport}}
+}
+
+// OrderWire is the JSON form of an order.
+type OrderWire struct {
+	ID           string `json:"id"`
+	Fence        uint64 `json:"fence"`
+	Kind         string `json:"kind"`
+	Model        string `json:"model,omitempty"`
+	Base         string `json:"base,omitempty"`
+	MemoryMB     int    `json:"memory_mb,omitempty"`
+	CheckpointMB int    `json:"checkpoint_mb,omitempty"`
+}
+
+// LoadedWire is the JSON form of a loaded model.
+type LoadedWire struct {
+	Model     string `json:"model"`
+	Ready     bool   `json:"ready"`
+	OrderID   string `json:"order_id"`
+	MemoryMB  int    `json:"memory_mb"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
+	ReadyInMS int64  `json:"ready_in_ms,omitempty"`
+}
+
+// ReportWire is the JSON form of a report.
+type ReportWire struct {
+	Incarnation uint64         `json:"incarnation"`
+	Fence       uint64         `json:"fence"`
+	Fencing     bool           `json:"fencing"`
+	MemoryMB    int            `json:"memory_mb"`
+	Slots       int            `json:"slots"`
+	Loaded      []LoadedWire   `json:"loaded"`
+	Cached      map[string]int `json:"cached"`
+	Orders      []string       `json:"orders"`
+}
+
+// Report asks the engine at address for its account of itself.
+func (h *HTTP) Report(ctx context.Context, address string) (*Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/engine/report", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build report request")
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, ErrUnreachable
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrUnreachable
+	}
+	var wire ReportWire
+	if err := json.NewDecoder(resp.Body).Decode(&wire); err != nil {
+		return nil, eris.Wrap(err, "decode report")
+	}
+	return wire.domain(), nil
+}
+
+// Send gives the engine at address an order.
+func (h *HTTP) Send(ctx context.Context, address string, order Order) error {
+	body, err := json.Marshal(OrderWire{
+		ID: order.ID, Fence: uint64(order.Fence), Kind: order.Kind.String(),
+		Model: string(order.Model), Base: string(order.Base),
+		MemoryMB: order.Memory, CheckpointMB: order.Checkpoint,
+	})
+	if err != nil {
+		return eris.Wrap(err, "encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/engine/orders", bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "build order")
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return SendError(err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return nil
+	case http.StatusPreconditionFailed:
+		return ErrStaleFence
+	case http.StatusConflict:
+		return ErrRefused
+	default:
+		return ErrUnknown
+	}
+}
+
+// SendError tells a call that never left from one whose reply was lost.
+func SendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnreachable
+	}
+	return ErrUnknown
+}
+
+func (w ReportWire) domain() *Report {
+	report := &Report{
+		Incarnation: cardamom.Incarnation(w.Incarnation),
+		Fence:       cardamom.Fence(w.Fence),
+		Fencing:     w.Fencing,
+		Memory:      w.MemoryMB,
+		Slots:       w.Slots,
+		Orders:      w.Orders,
+		Cached:      make(map[cardamom.ModelID]cardamom.Tier, len(w.Cached)),
+	}
+	for model, tier := range w.Cached {
+		report.Cached[cardamom.ModelID(model)] = cardamom.Tier(tier)
+	}
+	for _, l := range w.Loaded {
+		state := Loading
+		if l.Ready {
+			state = Ready
+		}
+		report.Loaded = append(report.Loaded, Loaded{
+			Model: cardamom.ModelID(l.Model), State: state, OrderID: l.OrderID,
+			Memory: l.MemoryMB, Running: l.Running, Waiting: l.Waiting,
+			ReadyIn: time.Duration(l.ReadyInMS) * time.Millisecond,
+		})
+	}
+	return report
+}
--- /dev/null
+++ b/entry/blame.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cardamomcourse.example/cardamom/cells"
+)
+
+const (
+	// blameWait is how long an upstream is asked whether it still lives.
+	blameWait = 2 * time.Second
+	// blamePause is the pause between two questions.
+	blamePause = 100 * time.Millisecond
+)
+
+// blame finds out whether the upstream died while it ran the job, and if so
+// counts the death against the job. A connection that broke while the upstream
+// lives on is nobody's fault.
+func (s *Server) blame(ctx context.Context, j *job, replica cells.Replica) {
+	if ctx.Err() != nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameWait)
+	defer cancel()
+	death := fmt.Sprintf("%s/%d", replica.Upstream, replica.Incarnation)
+	for {
+		report, err := s.options.Reporter.Report(limited, replica.Address)
+		if err == nil && report.Incarnation == replica.Incarnation {
+			return
+		}
+		if err == nil {
+			break
+		}
+		if !sleep(limited, blamePause) {
+			break
+		}
+	}
+	s.options.Logger.Warn("upstream_died", "upstream", replica.Upstream, "model", j.model.ID(), "fingerprint", fmt.Sprintf("%016x", uint64(j.fingerprint)))
+	s.options.Ledger.Blame(j.fingerprint, death, time.Now())
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/peers"
+	"cardamomcourse.example/cardamom/policy"
+)
+
+// forward passes a request to an instance that follows the model's cell, once.
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, model *policy.Model) {
+	member, ok := s.options.Views.Load().Forward(model)
+	if !ok {
+		s.finish(w, cardamom.Refuse(cardamom.ReasonNoUpstream, "no other instance follows the model's cells").After(time.Second))
+		return
+	}
+	ctx, span := s.options.Tracer.Start(ctx, "forward", attribute.String("instance", string(member.Instance().ID)))
+	defer span.End()
+	header := s.forwardHeader(ctx, r, req)
+	url := "http://" + member.Instance().CallerAddress + r.URL.Path
+	result := s.sender.send(ctx, r, url, header, req.body, req.key != "")
+	if refusal := refused(ctx, result); refusal != nil {
+		s.finish(w, refusal)
+		return
+	}
+	defer result.response.Body.Close()
+	s.pass(ctx, w, result.response, member)
+}
+
+func (s *Server) forwardHeader(ctx context.Context, r *http.Request, req *request) http.Header {
+	header := make(http.Header, 8)
+	for _, name := range []string{"Content-Type", "Accept", "Authorization", KeyHeader, IssueHeader, PriorityHeader} {
+		if value := r.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	header.Set(ForwardedHeader, string(s.options.Self.ID))
+	header.Set(CallerHeader, req.caller)
+	remaining := max(time.Until(req.deadline).Milliseconds(), 1)
+	header.Set(DeadlineHeader, strconv.FormatInt(remaining, 10))
+	s.options.Tracer.Inject(ctx, header)
+	return header
+}
+
+// pass relays the other instance's response. A stream that breaks off is
+// closed with the word that it may have run.
+func (s *Server) pass(ctx context.Context, w http.ResponseWriter, response *http.Response, _ peers.Member) {
+	if response.Header.Get("Content-Type") == "text/event-stream" {
+		s.passStream(ctx, w, response)
+		return
+	}
+	body, err := readWhole(response)
+	if err != nil {
+		s.finish(w, s.broken(ctx, err))
+		return
+	}
+	for _, name := range []string{"Content-Type", "Retry-After", "Idempotent-Replayed", cardamom.OutcomeHeader} {
+		if value := response.Header.Get(name); value != "" {
+			w.Header().Set(name, value)
+		}
+	}
+	s.options.Metrics.Count(cardamom.ParseOutcome(response.Header.Get(cardamom.OutcomeHeader)), "")
+	w.WriteHeader(response.StatusCode)
+	_, _ = w.Write(body)
+}
+
+func (s *Server) passStream(ctx context.Context, w http.ResponseWriter, response *http.Response) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.WriteHeader(http.StatusOK)
+	closing := &closingWatch{ResponseWriter: w}
+	result := relay(closing, response.Body)
+	switch {
+	case result.whole:
+		s.options.Metrics.Count(cardamom.Served, "")
+		_, _ = io.WriteString(w, string(lastData)+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+	case closing.seen:
+		s.options.Metrics.Count(cardamom.MayHaveRun, cardamom.ReasonUpstreamLost)
+	default:
+		refusal := s.broken(ctx, result.err)
+		s.count(refusal)
+		finishStream(w, refusal)
+	}
+}
+
+// closingWatch notes whether an outcome event has passed.
+type closingWatch struct {
+	http.ResponseWriter
+	seen bool
+}
+
+// Write implements io.Writer.
+func (c *closingWatch) Write(data []byte) (int, error) {
+	c.seen = c.seen || containsOutcome(data)
+	return c.ResponseWriter.Write(data)
+}
+
+// Unwrap lets a response controller reach the writer below.
+func (c *closingWatch) Unwrap() http.ResponseWriter { return c.ResponseWriter }
--- /dev/null
+++ b/entry/info.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+// addressesWire is the JSON form of an address answer.
+type addressesWire struct {
+	Addresses []addressWire `json:"addresses"`
+	TTLMS     int64         `json:"ttl_ms"`
+	Issue     uint64        `json:"issue"`
+}
+
+type addressWire struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Place    string `json:"place"`
+}
+
+// addresses answers which instances to connect to, in an order drawn anew for
+// each caller. The caller uses the first and keeps the rest for failures.
+func (s *Server) addresses(r *restful.Request, w *restful.Response) {
+	view := s.options.Views.Load()
+	if view.Unready != "" {
+		refuse(w.ResponseWriter, cardamom.Refuse(cardamom.ReasonNotReady, view.Unready))
+		return
+	}
+	name := r.QueryParameter("model")
+	if name == "" {
+		name = r.QueryParameter("service")
+	}
+	members, ok := view.Addresses(name, cardamom.Place(r.QueryParameter("place")))
+	if !ok {
+		refuse(w.ResponseWriter, cardamom.Refuse(cardamom.ReasonUnknownModel, "no model or plain service "+name))
+		return
+	}
+	wire := addressesWire{TTLMS: s.options.AddressTTL.Milliseconds(), Issue: view.Issue}
+	for _, member := range members {
+		instance := member.Instance()
+		wire.Addresses = append(wire.Addresses, addressWire{
+			Instance: string(instance.ID), Address: instance.CallerAddress, Place: string(instance.Place),
+		})
+	}
+	rand.Shuffle(len(wire.Addresses), func(i, j int) {
+		wire.Addresses[i], wire.Addresses[j] = wire.Addresses[j], wire.Addresses[i]
+	})
+	writeJSON(w.ResponseWriter, http.StatusOK, wire)
+}
+
+type modelsWire struct {
+	Object string      `json:"object"`
+	Data   []modelWire `json:"data"`
+}
+
+type modelWire struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Base   string `json:"base,omitempty"`
+}
+
+func (s *Server) models(_ *restful.Request, w *restful.Response) {
+	wire := modelsWire{Object: "list", Data: []modelWire{}}
+	if published := s.options.Views.Load().Published; published != nil {
+		for _, id := range published.Document().Models() {
+			model, _ := published.Document().Model(id)
+			wire.Data = append(wire.Data, modelWire{ID: string(id), Object: "model", Base: string(model.Base())})
+		}
+	}
+	writeJSON(w.ResponseWriter, http.StatusOK, wire)
+}
+
+func (s *Server) healthy(_ *restful.Request, w *restful.Response) {
+	_, _ = io.WriteString(w.ResponseWriter, "ok\n")
+}
+
+func (s *Server) ready(_ *restful.Request, w *restful.Response) {
+	view := s.options.Views.Load()
+	switch {
+	case view.Unready != "":
+		refuse(w.ResponseWriter, cardamom.Refuse(cardamom.ReasonNotReady, view.Unready))
+	case view.Leaving:
+		refuse(w.ResponseWriter, cardamom.Refuse(cardamom.ReasonLeaving, "instance is leaving"))
+	default:
+		_, _ = io.WriteString(w.ResponseWriter, "ready\n")
+	}
+}
+
+func (s *Server) vars(_ *restful.Request, w *restful.Response) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = io.WriteString(w.ResponseWriter, s.options.Metrics.String()+"\n")
+}
+
+// statusWire is the JSON form of what operators see of an instance.
+type statusWire struct {
+	Instance string       `json:"instance"`
+	Place    string       `json:"place"`
+	Ready    bool         `json:"ready"`
+	Unready  string       `json:"unready,omitempty"`
+	Leaving  bool         `json:"leaving"`
+	Revision uint64       `json:"revision"`
+	Members  []memberWire `json:"members"`
+	Claims   []holdWire   `json:"claims"`
+	Cells    []cellWire   `json:"cells"`
+}
+
+type memberWire struct {
+	ID       string `json:"id"`
+	Place    string `json:"place"`
+	Revision uint64 `json:"revision"`
+}
+
+type holdWire struct {
+	Resource string `json:"resource"`
+	Holder   string `json:"holder"`
+	Witness  string `json:"witness,omitempty"`
+	Version  uint64 `json:"version"`
+}
+
+type cellWire struct {
+	Cell     string `json:"cell"`
+	Models   int    `json:"models"`
+	Replicas int    `json:"replicas"`
+}
+
+func (s *Server) status(_ *restful.Request, w *restful.Response) {
+	view := s.options.Views.Load()
+	wire := statusWire{
+		Instance: string(view.Self.ID), Place: string(view.Self.Place), Ready: view.Unready == "",
+		Unready: view.Unready, Leaving: view.Leaving,
+	}
+	if view.Published != nil {
+		wire.Revision = uint64(view.Published.Revision())
+	}
+	for _, member := range view.Active {
+		wire.Members = append(wire.Members, memberWire{
+			ID: string(member.Instance().ID), Place: string(member.Instance().Place), Revision: uint64(member.Revision()),
+		})
+	}
+	for _, row := range view.Claims {
+		wire.Claims = append(wire.Claims, holdWire{
+			Resource: string(row.Resource()), Holder: string(row.Holder().ID()),
+			Witness: string(row.Witness().ID()), Version: row.Version(),
+		})
+	}
+	for cell, models := range view.Follows {
+		status := cellWire{Cell: string(cell), Models: len(models)}
+		for _, replicas := range models {
+			status.Replicas += len(replicas)
+		}
+		wire.Cells = append(wire.Cells, status)
+	}
+	writeJSON(w.ResponseWriter, http.StatusOK, wire)
+}
--- /dev/null
+++ b/fakes/fleet/deployment.go
@@ -0,0 +1,200 @@
+// Package fleet starts a whole deployment as separate processes on loopback:
+// the platform, the upstreams and the instances, each upstream and the table
+// behind a proxy that can inject faults.
+//
+// # Usage
+//
+//	deployment, err := fleet.Load("examples/kalliope/deployment.jsonc")
+//	f, err := fleet.Start(ctx, fleet.Options{Deployment: deployment, Programs: "bin"})
+//	defer f.Stop()
+//	f.Kill("entry-psyrri-hall-1")
+//
+// It is for tests and experiments; the system itself starts no process.
+package fleet
+
+import (
+	_ "embed"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/policy"
+)
+
+//go:embed schema.json
+var schema []byte
+
+// Defaults of a deployment.
+const (
+	defaultReads     = 2000
+	defaultWrites    = 400
+	defaultListLag   = 2000
+	defaultDiskSpeed = 50000
+	defaultMemSpeed  = 200000
+)
+
+// Deployment describes what runs where.
+type Deployment struct {
+	wire     deploymentWire
+	profiles []byte
+	document *policy.Document
+}
+
+type deploymentWire struct {
+	Profiles  string         `json:"profiles"`
+	Places    map[string]int `json:"places"`
+	Platform  platformWire   `json:"platform"`
+	Upstreams []upstreamWire `json:"upstreams"`
+}
+
+type platformWire struct {
+	ReadsPerSec  int     `json:"reads_per_s,omitempty"`
+	WritesPerSec int     `json:"writes_per_s,omitempty"`
+	ListLagMS    int64   `json:"list_lag_ms,omitempty"`
+	LoadsPerSec  float64 `json:"loads_per_s"`
+	LoadStreams  int     `json:"load_streams"`
+	LoadMBPerSec float64 `json:"load_mb_per_s"`
+}
+
+type upstreamWire struct {
+	Service        string         `json:"service"`
+	Kind           string         `json:"kind"`
+	Places         map[string]int `json:"places"`
+	MemoryMB       int            `json:"memory_mb,omitempty"`
+	Slots          int            `json:"slots,omitempty"`
+	Fencing        bool           `json:"fencing,omitempty"`
+	CacheMB        int            `json:"cache_mb,omitempty"`
+	DiskMBPerSec   float64        `json:"disk_mb_per_s,omitempty"`
+	MemoryMBPerSec float64        `json:"memory_mb_per_s,omitempty"`
+	PrefillMS      float64        `json:"prefill_ms,omitempty"`
+	IntervalMS     float64        `json:"interval_ms,omitempty"`
+	WorkMS         float64        `json:"work_ms,omitempty"`
+	ReportLagMS    int64          `json:"report_lag_ms,omitempty"`
+}
+
+// Load reads and checks a deployment file and the profile document it names.
+func Load(path string) (*Deployment, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read deployment")
+	}
+	d := &Deployment{}
+	if _, err := conf.Decode(path, body, schema, &d.wire); err != nil {
+		return nil, err
+	}
+	profiles := filepath.Join(filepath.Dir(path), d.wire.Profiles)
+	if d.profiles, err = os.ReadFile(profiles); err != nil {
+		return nil, eris.Wrap(err, "read profiles")
+	}
+	if d.document, err = policy.Parse(profiles, d.profiles); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Document returns the deployment's profile document.
+func (d *Deployment) Document() *policy.Document { return d.document }
+
+// Profiles returns the source text of the profile document.
+func (d *Deployment) Profiles() []byte { return d.profiles }
+
+// Instances returns the names of the instances with their places, in order.
+func (d *Deployment) Instances() []Placed {
+	return placed("entry", d.wire.Places)
+}
+
+// SetInstances replaces how many instances each place has.
+func (d *Deployment) SetInstances(perPlace map[string]int) { d.wire.Places = perPlace }
+
+// Places returns the deployment's places in order.
+func (d *Deployment) Places() []string {
+	places := make([]string, 0, len(d.wire.Places))
+	for place := range d.wire.Places {
+		places = append(places, place)
+	}
+	sort.Strings(places)
+	return places
+}
+
+// Placed is a process with its place.
+type Placed struct {
+	ID    string
+	Place string
+}
+
+func placed(prefix string, places map[string]int) []Placed {
+	names := make([]string, 0, len(places))
+	for place := range places {
+		names = append(names, place)
+	}
+	sort.Strings(names)
+	var list []Placed
+	for _, place := range names {
+		for n := range places[place] {
+			list = append(list, Placed{ID: prefix + "-" + place + "-" + strconv.Itoa(n+1), Place: place})
+		}
+	}
+	return list
+}
+
+// PlatformOptions returns the platform of the deployment on free ports.
+func (d *Deployment) PlatformOptions() fakes.PlatformOptions {
+	p := d.wire.Platform
+	return fakes.PlatformOptions{
+		TableAddress: "127.0.0.1:0", ListAddress: "127.0.0.1:0", WeightsAddress: "127.0.0.1:0",
+		ReadsPerSec: or(p.ReadsPerSec, defaultReads), WritesPerSec: or(p.WritesPerSec, defaultWrites),
+		ListLag:     time.Duration(or(p.ListLagMS, defaultListLag)) * time.Millisecond,
+		LoadsPerSec: p.LoadsPerSec, LoadStreams: p.LoadStreams, LoadMBPerSec: p.LoadMBPerSec, Document: d.document,
+	}
+}
+
+// Runners returns the model engines of the deployment on free ports.
+func (d *Deployment) Runners(weights string) []fakes.RunnerOptions {
+	var list []fakes.RunnerOptions
+	for _, u := range d.wire.Upstreams {
+		if u.Kind != "runner" {
+			continue
+		}
+		for _, p := range placed(u.Service, u.Places) {
+			list = append(list, fakes.RunnerOptions{
+				ID: p.ID, Service: u.Service, Place: p.Place, Address: "127.0.0.1:0", Weights: weights,
+				MemoryMB: u.MemoryMB, Slots: max(u.Slots, 1), Fencing: u.Fencing, CacheMB: u.CacheMB,
+				DiskMBPerSec: or(u.DiskMBPerSec, defaultDiskSpeed), MemoryMBPerSec: or(u.MemoryMBPerSec, defaultMemSpeed),
+				Prefill: millis(u.PrefillMS), Interval: millis(u.IntervalMS), ReportLag: millis(float64(u.ReportLagMS)),
+			})
+		}
+	}
+	return list
+}
+
+// Plains returns the plain service processes of the deployment on free ports.
+func (d *Deployment) Plains(weights string) []fakes.PlainOptions {
+	var list []fakes.PlainOptions
+	for _, u := range d.wire.Upstreams {
+		if u.Kind != "plain" {
+			continue
+		}
+		for _, p := range placed(u.Service, u.Places) {
+			list = append(list, fakes.PlainOptions{
+				ID: p.ID, Service: u.Service, Place: p.Place, Address: "127.0.0.1:0", Weights: weights, Work: millis(u.WorkMS),
+			})
+		}
+	}
+	return list
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func or[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/fakes/fleet/fleet.go
@@ -0,0 +1,447 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/revs"
+	"cardamomcourse.example/cardamom/roster"
+	"cardamomcourse.example/cardamom/table"
+)
+
+// Options tell how to start a fleet.
+type Options struct {
+	Deployment *Deployment
+	// Programs is the folder with the programs cardd and cardfake.
+	Programs string
+	// Folder takes settings and logs.
+	Folder string
+	// Proxied puts a proxy before each upstream and the table.
+	Proxied bool
+	// Extra are settings that replace the defaults of each instance.
+	Extra map[string]any
+	// LogLevel is the instances' log level.
+	LogLevel string
+}
+
+// readyTimeout is how long the instances may take to be ready.
+const readyTimeout = 30 * time.Second
+
+// platformHello is the greeting of the platform's process.
+type platformHello struct {
+	Table   string `json:"table"`
+	List    string `json:"list"`
+	Weights string `json:"weights"`
+}
+
+// proxyHello is the greeting of the proxies' process.
+type proxyHello struct {
+	Admin string `json:"admin"`
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	options  Options
+	platform platformHello
+	admin    string
+	fronts   map[string]string
+	client   *http.Client
+
+	mu        sync.Mutex
+	processes map[string]*Process
+	callers   map[string]string
+	peers     map[string]string
+	places    map[string]string
+}
+
+// Start starts all processes, publishes the profiles and waits until every
+// instance is ready.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	f := &Fleet{
+		options: options, fronts: make(map[string]string), processes: make(map[string]*Process),
+		callers: make(map[string]string), peers: make(map[string]string), places: make(map[string]string),
+		client: &http.Client{Timeout: 10 * time.Second},
+	}
+	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.publish, f.startInstances, f.awaitReady}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startPlatform(context.Context) error {
+	profiles := filepath.Join(f.options.Folder, "profiles.jsonc")
+	if err := os.WriteFile(profiles, f.options.Deployment.profiles, 0o644); err != nil {
+		return eris.Wrap(err, "write profiles")
+	}
+	wire := f.options.Deployment.wire
+	wire.Profiles = "profiles.jsonc"
+	deployment, err := f.writeJSON("deployment.json", wire)
+	if err != nil {
+		return err
+	}
+	if err := f.launch("platform", "cardfake", []string{"platform", "--deployment", deployment}, &f.platform); err != nil {
+		return err
+	}
+	if !f.options.Proxied {
+		return nil
+	}
+	return f.startProxies()
+}
+
+// startProxies fronts the table and every upstream.
+func (f *Fleet) startProxies() error {
+	targets := map[string]string{"table": f.platform.Table, "list": f.platform.List}
+	for _, id := range f.upstreamIDs() {
+		port, err := FreePort()
+		if err != nil {
+			return err
+		}
+		targets[id] = port
+	}
+	args := []string{"proxy"}
+	for id, target := range targets {
+		front, err := FreePort()
+		if err != nil {
+			return err
+		}
+		f.fronts[id] = front
+		f.callers[id] = target
+		args = append(args, "--front", id+"="+front+"="+target)
+	}
+	var hello proxyHello
+	if err := f.launch("proxy", "cardfake", args, &hello); err != nil {
+		return err
+	}
+	f.admin = hello.Admin
+	return nil
+}
+
+func (f *Fleet) upstreamIDs() []string {
+	var ids []string
+	for _, o := range f.options.Deployment.Runners("") {
+		ids = append(ids, o.ID)
+	}
+	for _, o := range f.options.Deployment.Plains("") {
+		ids = append(ids, o.ID)
+	}
+	return ids
+}
+
+func (f *Fleet) startUpstreams(context.Context) error {
+	for _, options := range f.options.Deployment.Runners(f.platform.Weights) {
+		options.Listed, options.Address = f.fronts[options.ID], or(f.callers[options.ID], options.Address)
+		if err := f.startUpstream("runner", options.ID, options); err != nil {
+			return err
+		}
+	}
+	for _, options := range f.options.Deployment.Plains(f.platform.Weights) {
+		options.Listed, options.Address = f.fronts[options.ID], or(f.callers[options.ID], options.Address)
+		if err := f.startUpstream("plain", options.ID, options); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type addressHello struct {
+	Address string `json:"address"`
+}
+
+func (f *Fleet) startUpstream(kind, id string, options any) error {
+	encoded, err := json.Marshal(options)
+	if err != nil {
+		return eris.Wrap(err, "encode options")
+	}
+	var hello addressHello
+	if err := f.launch(id, "cardfake", []string{kind, "--options", string(encoded)}, &hello); err != nil {
+		return err
+	}
+	f.callers[id] = hello.Address
+	return nil
+}
+
+func (f *Fleet) publish(ctx context.Context) error {
+	edit := revs.Edit{ID: "fleet-start", Editor: "fleet", Document: f.options.Deployment.profiles}
+	_, err := revs.Publish(ctx, f.Store(), edit, time.Now())
+	return err
+}
+
+// Store returns the table, past any proxy.
+func (f *Fleet) Store() *table.HTTP { return table.NewHTTP(f.platform.Table, 5*time.Second) }
+
+func (f *Fleet) startInstances(context.Context) error {
+	for _, instance := range f.options.Deployment.Instances() {
+		if err := f.AddInstance(instance); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddInstance starts an instance and puts it on the list.
+func (f *Fleet) AddInstance(instance Placed) error {
+	caller, err := FreePort()
+	if err != nil {
+		return err
+	}
+	peer, err := FreePort()
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.callers[instance.ID], f.peers[instance.ID], f.places[instance.ID] = caller, peer, instance.Place
+	f.mu.Unlock()
+	settings := map[string]any{
+		"instance": instance.ID, "place": instance.Place, "caller_address": caller, "peer_address": peer,
+		"platform": map[string]any{"table": f.front("table", f.platform.Table), "list": f.front("list", f.platform.List)},
+		"trace":    map[string]any{"share": 0}, "log_level": or(f.options.LogLevel, "info"),
+	}
+	for key, value := range f.options.Extra {
+		settings[key] = value
+	}
+	path, err := f.writeJSON(instance.ID+".json", settings)
+	if err != nil {
+		return err
+	}
+	if err := f.launch(instance.ID, "cardd", []string{"serve", "--settings", path}, nil); err != nil {
+		return err
+	}
+	return f.list(instance)
+}
+
+func (f *Fleet) list(instance Placed) error {
+	machine := roster.MachineWire{ID: instance.ID, Place: instance.Place, Address: f.callers[instance.ID], Peer: f.peers[instance.ID]}
+	return f.call(http.MethodPut, f.platform.List, "/instances", machine, nil)
+}
+
+func (f *Fleet) front(id, address string) string {
+	if front, ok := f.fronts[id]; ok {
+		return front
+	}
+	return address
+}
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for _, instance := range f.options.Deployment.Instances() {
+		if err := f.AwaitReady(ctx, instance.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until an instance is ready.
+func (f *Fleet) AwaitReady(ctx context.Context, id string) error {
+	return f.Await(ctx, readyTimeout, id+" is ready", func() bool {
+		response, err := f.client.Get("http://" + f.Caller(id) + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// awaitPause is the pause between two looks at a condition.
+const awaitPause = 20 * time.Millisecond
+
+// Await polls a condition until it holds or the time is up.
+func (f *Fleet) Await(ctx context.Context, limit time.Duration, what string, holds func() bool) error {
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(awaitPause)
+	defer ticker.Stop()
+	for {
+		if holds() {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return eris.Errorf("%s: not within %v", what, limit)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Caller returns the address of an instance for callers, or of an upstream.
+func (f *Fleet) Caller(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.callers[id]
+}
+
+// Process returns a started process.
+func (f *Fleet) Process(id string) (*Process, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[id]
+	return p, ok
+}
+
+// Kill ends a process at once. An instance is also taken off the list.
+func (f *Fleet) Kill(id string) error {
+	p, ok := f.Process(id)
+	if !ok {
+		return eris.Errorf("no process %s", id)
+	}
+	p.kill()
+	return f.unlist(id)
+}
+
+func (f *Fleet) unlist(id string) error {
+	return f.call(http.MethodPost, f.platform.List, "/remove?id="+id, nil, nil)
+}
+
+// Pause stops a process without ending it.
+func (f *Fleet) Pause(id string) error { return f.signal(id, syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (f *Fleet) Resume(id string) error { return f.signal(id, syscall.SIGCONT) }
+
+// Terminate asks a process to shut down gracefully.
+func (f *Fleet) Terminate(id string) error { return f.signal(id, syscall.SIGTERM) }
+
+func (f *Fleet) signal(id string, signal syscall.Signal) error {
+	p, ok := f.Process(id)
+	if !ok {
+		return eris.Errorf("no process %s", id)
+	}
+	return p.signal(signal)
+}
+
+// Restart starts an ended process again with the same arguments.
+func (f *Fleet) Restart(id string) error {
+	p, ok := f.Process(id)
+	if !ok {
+		return eris.Errorf("no process %s", id)
+	}
+	p.kill()
+	place, instance := f.places[id]
+	if instance {
+		if err := f.launch(id, "cardd", p.args, nil); err != nil {
+			return err
+		}
+		return f.list(Placed{ID: id, Place: place})
+	}
+	var hello addressHello
+	return f.launch(id, "cardfake", p.args, &hello)
+}
+
+// Faults sets the faults of the proxy before an upstream, the table or the list.
+func (f *Fleet) Faults(id string, faults ...fakes.Fault) error {
+	if faults == nil {
+		faults = []fakes.Fault{}
+	}
+	return f.call(http.MethodPut, f.admin, "/faults?front="+id, faults, nil)
+}
+
+// TableFaults sets the faults of the table itself.
+func (f *Fleet) TableFaults(faults fakes.TableFaults) error {
+	return f.call(http.MethodPut, f.platform.Table, "/faults", faults, nil)
+}
+
+// TableCounts returns the calls the table has taken.
+func (f *Fleet) TableCounts() (fakes.TableCounts, error) {
+	var counts fakes.TableCounts
+	err := f.call(http.MethodGet, f.platform.Table, "/counts", nil, &counts)
+	return counts, err
+}
+
+// ListFaults sets the faults of the list itself.
+func (f *Fleet) ListFaults(faults fakes.ListFaults) error {
+	return f.call(http.MethodPut, f.platform.List, "/faults", faults, nil)
+}
+
+// Leave marks an upstream as leaving on the list.
+func (f *Fleet) Leave(id string) error {
+	return f.call(http.MethodPost, f.platform.List, "/leave?id="+id, nil, nil)
+}
+
+// SlowWeights multiplies the speed of the weight store.
+func (f *Fleet) SlowWeights(factor float64) error {
+	return f.call(http.MethodPost, f.platform.Weights, fmt.Sprintf("/weights/slow?factor=%g", factor), nil, nil)
+}
+
+// Truth returns what really happened.
+func (f *Fleet) Truth() (fakes.TruthWire, error) {
+	var truth fakes.TruthWire
+	err := f.call(http.MethodGet, f.platform.Weights, "/truth", nil, &truth)
+	return truth, err
+}
+
+// Status decodes an instance's status.
+func (f *Fleet) Status(id string, into any) error {
+	return f.call(http.MethodGet, f.Caller(id), "/v1/status", nil, into)
+}
+
+func (f *Fleet) call(method, address, path string, body, into any) error {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return eris.Wrap(err, "encode call")
+		}
+		reader = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequest(method, "http://"+address+path, reader)
+	if err != nil {
+		return eris.Wrap(err, "build call")
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "call %s", path)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("call %s: status %d", path, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return eris.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", path)
+}
+
+func (f *Fleet) launch(id, program string, args []string, hello any) error {
+	log := filepath.Join(f.options.Folder, id+".log")
+	p, err := launch(id, filepath.Join(f.options.Programs, program), args, log, hello)
+	if p != nil {
+		f.mu.Lock()
+		f.processes[id] = p
+		f.mu.Unlock()
+	}
+	return err
+}
+
+func (f *Fleet) writeJSON(name string, value any) (string, error) {
+	path := filepath.Join(f.options.Folder, name)
+	body, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return "", eris.Wrap(err, "encode "+name)
+	}
+	return path, eris.Wrap(os.WriteFile(path, body, 0o644), "write "+name)
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		p.kill()
+	}
+}
--- /dev/null
+++ b/fakes/list.go
@@ -0,0 +1,144 @@
+package fakes
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"cardamomcourse.example/cardamom/roster"
+)
+
+// listed is a machine with the times at which the list shows its states.
+type listed struct {
+	machine   roster.MachineWire
+	instance  bool
+	shownAt   time.Time
+	leavingAt time.Time
+	goneAt    time.Time
+}
+
+// List is the platform's lagging list of machines.
+type List struct {
+	mu       sync.Mutex
+	lag      time.Duration
+	machines map[string]*listed
+	frozen   *roster.ListWire
+	down     bool
+}
+
+// NewList returns an empty list that shows changes after the lag.
+func NewList(lag time.Duration) *List {
+	return &List{lag: lag, machines: make(map[string]*listed)}
+}
+
+// Add lists a machine. An instance is one of the system's own, others are upstreams.
+func (l *List) Add(machine roster.MachineWire, instance bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	shown := now.Add(l.lag)
+	if known, ok := l.machines[machine.ID]; ok && known.shownAt.Before(now) {
+		shown = known.shownAt
+	}
+	l.machines[machine.ID] = &listed{machine: machine, instance: instance, shownAt: shown}
+}
+
+// Leave marks a machine as leaving.
+func (l *List) Leave(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m, ok := l.machines[id]; ok {
+		m.leavingAt = now.Add(l.lag)
+	}
+}
+
+// Remove takes a machine off the list.
+func (l *List) Remove(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m, ok := l.machines[id]; ok {
+		m.goneAt = now.Add(l.lag)
+	}
+}
+
+// Freeze makes the list show its present state until it is thawed.
+func (l *List) Freeze(frozen bool, now time.Time) {
+	state := l.At(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = nil
+	if frozen {
+		l.frozen = &state
+	}
+}
+
+// At returns what the list shows at a time.
+func (l *List) At(now time.Time) roster.ListWire {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.frozen != nil {
+		return *l.frozen
+	}
+	wire := roster.ListWire{Instances: []roster.MachineWire{}, Upstreams: []roster.MachineWire{}}
+	for _, m := range l.machines {
+		if now.Before(m.shownAt) || !m.goneAt.IsZero() && !now.Before(m.goneAt) {
+			continue
+		}
+		machine := m.machine
+		machine.Leaving = !m.leavingAt.IsZero() && !now.Before(m.leavingAt)
+		if m.instance {
+			wire.Instances = append(wire.Instances, machine)
+			continue
+		}
+		wire.Upstreams = append(wire.Upstreams, machine)
+	}
+	sort.Slice(wire.Instances, func(i, j int) bool { return wire.Instances[i].ID < wire.Instances[j].ID })
+	sort.Slice(wire.Upstreams, func(i, j int) bool { return wire.Upstreams[i].ID < wire.Upstreams[j].ID })
+	return wire
+}
+
+// ListFaults are the faults of a list.
+type ListFaults struct {
+	Down   bool `json:"down"`
+	Frozen bool `json:"frozen"`
+}
+
+// Handler returns the list's HTTP interface.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /list", func(w http.ResponseWriter, _ *http.Request) {
+		l.mu.Lock()
+		down := l.down
+		l.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, http.StatusOK, l.At(time.Now()))
+	})
+	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) { l.put(w, r, true) })
+	mux.HandleFunc("PUT /upstreams", func(w http.ResponseWriter, r *http.Request) { l.put(w, r, false) })
+	mux.HandleFunc("POST /leave", func(_ http.ResponseWriter, r *http.Request) { l.Leave(r.URL.Query().Get("id"), time.Now()) })
+	mux.HandleFunc("POST /remove", func(_ http.ResponseWriter, r *http.Request) { l.Remove(r.URL.Query().Get("id"), time.Now()) })
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults ListFaults
+		if err := readJSON(r, &faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.mu.Lock()
+		l.down = faults.Down
+		l.mu.Unlock()
+		l.Freeze(faults.Frozen, time.Now())
+	})
+	return mux
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request, instance bool) {
+	var machine roster.MachineWire
+	if err := readJSON(r, &machine); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Add(machine, instance, time.Now())
+}
--- /dev/null
+++ b/fakes/plain.go
@@ -0,0 +1,72 @@
+package fakes
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"cardamomcourse.example/cardamom/roster"
+)
+
+// PlainOptions describe a plain service process.
+type PlainOptions struct {
+	ID      string
+	Service string
+	Place   string
+	Address string
+	Weights string
+	// Listed is the address on the list if it is another, such as a proxy's.
+	Listed string
+	// Work is the time of one call.
+	Work time.Duration
+}
+
+// Plain is a plain service process. It answers a call with its own body.
+type Plain struct {
+	options PlainOptions
+	side    *side
+	server  *Server
+	cancel  context.CancelFunc
+}
+
+// StartPlain starts a process and puts it on the list.
+func StartPlain(options PlainOptions) (*Plain, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Plain{options: options, side: newSide(options.Weights), cancel: cancel}
+	server, err := serve(options.Address, http.HandlerFunc(p.call))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	p.server = server
+	machine := roster.MachineWire{ID: options.ID, Service: options.Service, Place: options.Place, Address: listedAs(options.Listed, server)}
+	if err := p.side.attach(ctx, machine); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Address returns the process's host:port.
+func (p *Plain) Address() string { return p.server.Address() }
+
+// Close ends the process as a crash would.
+func (p *Plain) Close() {
+	p.cancel()
+	p.server.Close()
+}
+
+func (p *Plain) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if key := r.Header.Get("Cardamom-Key"); key != "" {
+		p.side.tell(EventWire{Kind: "run", Key: key, Runner: p.options.ID})
+	}
+	if !sleep(r.Context(), p.options.Work) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string]string{"service": p.options.Service, "path": r.URL.Path, "echo": string(body)})
+}
--- /dev/null
+++ b/fakes/serve.go
@@ -0,0 +1,77 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Server is an HTTP server on a loopback address.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// serve starts a server at the address; port 0 picks a free one.
+func serve(address string, handler http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	s := &Server{listener: listener, http: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+// Address returns the host:port the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and all its connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func readJSON(r *http.Request, into any) error {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		return eris.Wrap(err, "decode body")
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	return eris.Wrap(err, "read body")
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// sleep waits and tells whether the time has passed.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// listedAs returns the address that the list gives for a server.
+func listedAs(address string, server *Server) string {
+	if address != "" {
+		return address
+	}
+	return server.Address()
+}
--- /dev/null
+++ b/fakes/table.go
@@ -0,0 +1,167 @@
+package fakes
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cardamomcourse.example/cardamom/table"
+)
+
+// TableFaults are the faults of a table.
+type TableFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// DelayMS is added to each call, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseReplies is how many of the next commits take effect and lose their reply.
+	LoseReplies int `json:"lose_replies"`
+}
+
+// TableCounts are the calls a table has taken.
+type TableCounts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Refused int64 `json:"refused"`
+}
+
+// Table is the platform's transactional table.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]table.RowWire
+	version uint64
+	faults  TableFaults
+	counts  TableCounts
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+}
+
+// NewTable returns an empty table that takes so many calls a second.
+func NewTable(readsPerSecond, writesPerSecond int) *Table {
+	return &Table{
+		rows:   make(map[string]table.RowWire),
+		reads:  rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond),
+		writes: rate.NewLimiter(rate.Limit(writesPerSecond), writesPerSecond),
+	}
+}
+
+// SetFaults replaces the table's faults.
+func (t *Table) SetFaults(faults TableFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = faults
+}
+
+// Counts returns the calls taken so far.
+func (t *Table) Counts() TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Handler returns the table's HTTP interface.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /row", t.limited(t.reads, t.row))
+	mux.HandleFunc("GET /rows", t.limited(t.reads, t.list))
+	mux.HandleFunc("POST /commit", t.limited(t.writes, t.commit))
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults TableFaults
+		if err := readJSON(r, &faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		t.SetFaults(faults)
+	})
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Counts())
+	})
+	return mux
+}
+
+func (t *Table) limited(limiter *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		t.mu.Lock()
+		faults := t.faults
+		t.mu.Unlock()
+		if !sleep(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond) {
+			return
+		}
+		if faults.Down || !limiter.Allow() {
+			t.mu.Lock()
+			t.counts.Refused++
+			t.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (t *Table) row(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	t.counts.Reads++
+	row := t.rows[r.URL.Query().Get("key")]
+	t.mu.Unlock()
+	writeJSON(w, http.StatusOK, row)
+}
+
+func (t *Table) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	t.mu.Lock()
+	t.counts.Reads++
+	rows := []table.RowWire{}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	t.mu.Unlock()
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	writeJSON(w, http.StatusOK, rows)
+}
+
+func (t *Table) commit(w http.ResponseWriter, r *http.Request) {
+	var writes []table.WriteWire
+	if err := readJSON(r, &writes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	version, ok, lose := t.apply(writes)
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case !ok:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		writeJSON(w, http.StatusOK, table.CommitWire{Version: version})
+	}
+}
+
+func (t *Table) apply(writes []table.WriteWire) (version uint64, ok, lose bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Writes++
+	if t.faults.LoseReplies > 0 {
+		t.faults.LoseReplies--
+		lose = true
+	}
+	for _, write := range writes {
+		if t.rows[write.Key].Version != write.Expect {
+			return 0, false, lose
+		}
+	}
+	t.version++
+	for _, write := range writes {
+		if write.Deleted {
+			delete(t.rows, write.Key)
+			continue
+		}
+		t.rows[write.Key] = table.RowWire{Key: write.Key, Value: write.Value, Version: t.version}
+	}
+	return t.version, true, lose
+}
--- /dev/null
+++ b/fakes/weights.go
@@ -0,0 +1,118 @@
+package fakes
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// weightsStep is the time between two steps of a transfer.
+const weightsStep = 5 * time.Millisecond
+
+// Weights is the rate-limited weight store. Transfers beyond the full-speed
+// streams slow all of them down.
+type Weights struct {
+	mu      sync.Mutex
+	active  int
+	peak    int
+	started int64
+	slow    float64
+	streams int
+	speed   float64
+	starts  *rate.Limiter
+}
+
+// NewWeights returns a store that starts so many transfers a second and gives
+// each of the full-speed streams mbPerSecond.
+func NewWeights(startsPerSecond float64, streams int, mbPerSecond float64) *Weights {
+	return &Weights{
+		slow: 1, streams: streams, speed: mbPerSecond,
+		starts: rate.NewLimiter(rate.Limit(startsPerSecond), max(int(startsPerSecond), 1)),
+	}
+}
+
+// SetSlow multiplies the speed of all transfers.
+func (s *Weights) SetSlow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = factor
+}
+
+// Fetch waits for as long as the transfer of so many MB takes.
+func (s *Weights) Fetch(ctx context.Context, mb float64) error {
+	if err := s.starts.Wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.active++
+	s.started++
+	s.peak = max(s.peak, s.active)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.active--
+		s.mu.Unlock()
+	}()
+	last := time.Now()
+	for mb > 0 {
+		if !sleep(ctx, weightsStep) {
+			return ctx.Err()
+		}
+		now := time.Now()
+		mb -= s.rate() * now.Sub(last).Seconds()
+		last = now
+	}
+	return nil
+}
+
+func (s *Weights) rate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := 1.0
+	if s.active > s.streams {
+		share = float64(s.streams) / float64(s.active)
+	}
+	return s.speed * s.slow * share
+}
+
+// WeightsCounts is what a store has done.
+type WeightsCounts struct {
+	Started int64 `json:"started"`
+	Peak    int   `json:"peak"`
+}
+
+// Counts returns what the store has done.
+func (s *Weights) Counts() WeightsCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return WeightsCounts{Started: s.started, Peak: s.peak}
+}
+
+// Handler returns the store's HTTP interface.
+func (s *Weights) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fetch", func(w http.ResponseWriter, r *http.Request) {
+		mb, err := strconv.ParseFloat(r.URL.Query().Get("mb"), 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := s.Fetch(r.Context(), mb); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("POST /slow", func(w http.ResponseWriter, r *http.Request) {
+		factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetSlow(factor)
+	})
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	return mux
+}
--- /dev/null
+++ b/keep/history.go
@@ -0,0 +1,52 @@
+package keep
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// buckets covers gaps from bucketBase to about two days.
+	buckets = 72
+	// bucketsPerDouble is how many buckets a doubling of the gap spans.
+	bucketsPerDouble = 4
+	// bucketBase is the upper bound of the first bucket.
+	bucketBase = time.Second
+	// forget is the weight that older gaps keep at each new one.
+	forget = 0.97
+)
+
+// History is when a model was used: its last use and its idle gaps in
+// logarithmic buckets, recent ones weighing more.
+type History struct {
+	counts  [buckets]float64
+	lastUse time.Time
+}
+
+// LastUse returns when the model was last in use.
+func (h *History) LastUse() time.Time { return h.lastUse }
+
+// Use records that the model is in use. A gap is what passed since the last
+// use, if it is longer than the shortest bucket.
+func (h *History) Use(now time.Time) {
+	gap := now.Sub(h.lastUse)
+	if !h.lastUse.IsZero() && gap > bucketBase {
+		for i := range h.counts {
+			h.counts[i] *= forget
+		}
+		h.counts[bucketOf(gap)]++
+	}
+	if now.After(h.lastUse) {
+		h.lastUse = now
+	}
+}
+
+func bucketOf(gap time.Duration) int {
+	doublings := math.Log2(float64(gap) / float64(bucketBase))
+	return min(max(int(math.Ceil(doublings*bucketsPerDouble)), 0), buckets-1)
+}
+
+// bound returns the upper bound of a bucket.
+func bound(bucket int) time.Duration {
+	return time.Duration(float64(bucketBase) * math.Exp2(float64(bucket)/bucketsPerDouble))
+}
--- /dev/null
+++ b/link/dialer.go
@@ -0,0 +1,48 @@
+// Package link carries the calls between instances over Twirp.
+//
+// # Usage
+//
+//	dialer := link.NewDialer(timeout)
+//	reply, err := dialer.Dial("127.0.0.1:7201").Exchange(ctx, digest)
+//
+//	handler := link.Handler(link.NewServer(loop, claims, views))
+package link
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"cardamomcourse.example/cardamom/peerpb"
+)
+
+// idleTimeout is how long an unused connection to a peer is kept.
+const idleTimeout = time.Minute
+
+// Dialer keeps a client for each peer address. It is safe for concurrent use.
+type Dialer struct {
+	mu      sync.Mutex
+	http    *http.Client
+	clients map[string]peerpb.Peer
+}
+
+// NewDialer returns a dialer whose calls last at most timeout.
+func NewDialer(timeout time.Duration) *Dialer {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
+	return &Dialer{
+		http:    &http.Client{Timeout: timeout, Transport: transport},
+		clients: make(map[string]peerpb.Peer),
+	}
+}
+
+// Dial returns the client of the peer at the address.
+func (d *Dialer) Dial(address string) peerpb.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = peerpb.NewPeerProtobufClient("http://"+address, d.http)
+		d.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,185 @@
+// Package node assembles one instance: its control loop, its servers and the
+// supervisor tree above them.
+//
+// # Usage
+//
+//	settings, err := conf.Load("cardd.jsonc")
+//	n, err := node.Build(settings, logger)
+//	err = n.Run(ctx) // until ctx ends; then hands over and drains
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"cardamomcourse.example/cardamom/admit"
+	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/ctrl"
+	"cardamomcourse.example/cardamom/entry"
+	"cardamomcourse.example/cardamom/link"
+	"cardamomcourse.example/cardamom/trace"
+)
+
+const (
+	// sweepEvery is the time between two searches for requests out of time.
+	sweepEvery = 20 * time.Millisecond
+	// headerTimeout is how long a connection may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an unused connection of a caller is kept.
+	idleTimeout = 2 * time.Minute
+	// leaveTimeout is how long holds are handed over at a shutdown.
+	leaveTimeout = 5 * time.Second
+	// restartDecay is the time in seconds over which failures are forgotten.
+	restartDecay = 30
+)
+
+// Node is one instance.
+type Node struct {
+	settings *conf.Settings
+	loop     *ctrl.Loop
+	desk     *admit.Desk
+	callers  *http.Server
+	peers    *http.Server
+	tracer   *trace.Tracer
+	logger   hclog.Logger
+	draining atomic.Bool
+}
+
+// New returns an instance that has not started.
+func New(settings *conf.Settings, loop *ctrl.Loop, desk *admit.Desk, callers *entry.Server, peers *link.Server, tracer *trace.Tracer, logger hclog.Logger) *Node {
+	n := &Node{settings: settings, loop: loop, desk: desk, tracer: tracer, logger: logger}
+	n.callers = &http.Server{Handler: n.closing(callers.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.peers = &http.Server{Handler: link.Handler(peers), ReadHeaderTimeout: headerTimeout}
+	return n
+}
+
+// closing tells callers to close their connections once the instance leaves.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run serves until ctx ends, then hands over what it holds, lets the requests
+// in progress finish within the drain time and stops.
+func (n *Node) Run(ctx context.Context) error {
+	callerListener, err := net.Listen("tcp", n.settings.Instance().CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	peerListener, err := net.Listen("tcp", n.settings.Instance().PeerAddress)
+	if err != nil {
+		_ = callerListener.Close()
+		return eris.Wrap(err, "listen for peers")
+	}
+	runCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := n.tree(callerListener, peerListener).ServeBackground(runCtx)
+	n.logger.Info("started", "callers", callerListener.Addr(), "peers", peerListener.Addr())
+	<-ctx.Done()
+	n.leave()
+	stop()
+	err = <-done
+	_ = n.peers.Close()
+	if closeErr := n.tracer.Close(context.Background()); closeErr != nil {
+		n.logger.Warn("spans_lost", "error", closeErr)
+	}
+	n.logger.Info("stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return eris.Wrap(err, "supervisor")
+}
+
+// leave hands over and drains.
+func (n *Node) leave() {
+	n.logger.Info("leaving")
+	n.draining.Store(true)
+	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := n.loop.Leave(leaveCtx); err != nil {
+		n.logger.Warn("holds_not_handed_over", "error", err)
+	}
+	drainCtx, cancelDrain := context.WithTimeout(context.Background(), n.settings.Drain())
+	defer cancelDrain()
+	if err := n.callers.Shutdown(drainCtx); err != nil {
+		waiting, running := n.desk.Waiting()
+		n.logger.Warn("requests_cut_off", "waiting", waiting, "running", running)
+		_ = n.callers.Close()
+	}
+}
+
+// tree returns the supervisor of the control loop and the traffic services.
+func (n *Node) tree(callers, peers net.Listener) *suture.Supervisor {
+	spec := suture.Spec{FailureDecay: restartDecay, EventHook: n.failed}
+	traffic := suture.New("traffic", spec)
+	traffic.Add(&serving{name: "callers", server: n.callers, listener: callers})
+	traffic.Add(&serving{name: "peers", server: n.peers, listener: peers})
+	traffic.Add(&sweeping{desk: n.desk})
+	root := suture.New("cardd", spec)
+	root.Add(n.loop)
+	root.Add(traffic)
+	return root
+}
+
+func (n *Node) failed(event suture.Event) {
+	n.logger.Error("service_failed", "detail", event.String())
+}
+
+// serving is an HTTP server under supervision.
+type serving struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// String names the service for its supervisor.
+func (s *serving) String() string { return s.name }
+
+// Serve implements suture.Service.
+func (s *serving) Serve(ctx context.Context) error {
+	result := make(chan error, 1)
+	go func() { result <- s.server.Serve(s.listener) }()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-result:
+		if errors.Is(err, http.ErrServerClosed) {
+			return suture.ErrDoNotRestart
+		}
+		return eris.Wrapf(err, "serve %s", s.name)
+	}
+}
+
+// sweeping refuses waiting requests that are out of time.
+type sweeping struct {
+	desk *admit.Desk
+}
+
+// String names the service for its supervisor.
+func (s *sweeping) String() string { return "sweeper" }
+
+// Serve implements suture.Service.
+func (s *sweeping) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.desk.Sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/node/provide.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"time"
+
+	"github.com/google/wire"
+	"github.com/hashicorp/go-hclog"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/admit"
+	"cardamomcourse.example/cardamom/claim"
+	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/ctrl"
+	"cardamomcourse.example/cardamom/engine"
+	"cardamomcourse.example/cardamom/entry"
+	"cardamomcourse.example/cardamom/link"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/roster"
+	"cardamomcourse.example/cardamom/route"
+	"cardamomcourse.example/cardamom/table"
+	"cardamomcourse.example/cardamom/trace"
+)
+
+// peerTimeout is the greatest time of one call to a peer.
+const peerTimeout = 5 * time.Second
+
+// Set provides all parts of an instance.
+var Set = wire.NewSet(
+	provideIncarnation, provideStore, provideLister, provideEngines, provideDialer, provideViews,
+	provideDesk, provideLoop, provideTracer, provideMetrics, provideEntry, provideLinkServer, provideLinkClaims,
+	poison.New, claim.NewRegistry, newSwitchboard, New,
+)
+
+// switchboard passes demand from the desk to the loop, which is made later.
+type switchboard struct {
+	loop *ctrl.Loop
+}
+
+func newSwitchboard() *switchboard { return &switchboard{} }
+
+func provideIncarnation() cardamom.Incarnation { return cardamom.Incarnation(time.Now().UnixNano()) }
+
+func provideStore(settings *conf.Settings) table.Store {
+	return table.NewHTTP(settings.Table(), settings.TableTimeout())
+}
+
+func provideLister(settings *conf.Settings) ctrl.Lister {
+	return roster.NewHTTP(settings.List(), settings.TableTimeout())
+}
+
+func provideEngines(settings *conf.Settings) *engine.HTTP {
+	return engine.NewHTTP(settings.EngineTimeout())
+}
+
+func provideDialer() *link.Dialer { return link.NewDialer(peerTimeout) }
+
+func provideViews(settings *conf.Settings) *route.Holder { return route.NewHolder(settings.Instance()) }
+
+func provideDesk(board *switchboard) *admit.Desk {
+	return admit.New(func(cell cardamom.CellID) { board.loop.Demand(cell) })
+}
+
+func provideLoop(
+	settings *conf.Settings, incarnation cardamom.Incarnation, store table.Store, lister ctrl.Lister, engines *engine.HTTP,
+	dialer *link.Dialer, desk *admit.Desk, views *route.Holder, ledger *poison.Ledger, claims *claim.Registry,
+	logger hclog.Logger, board *switchboard,
+) *ctrl.Loop {
+	board.loop = ctrl.New(ctrl.Options{
+		Settings: settings, Incarnation: incarnation, Store: store, Lister: lister, Engines: engines, Dialer: dialer,
+		Desk: desk, Views: views, Ledger: ledger, Claims: claims, Logger: logger.Named("control"),
+	}, time.Now())
+	return board.loop
+}
+
+func provideTracer(settings *conf.Settings) (*trace.Tracer, error) {
+	return trace.New(trace.Options{
+		URL: settings.TraceURL(), File: settings.TraceFile(), Share: settings.TraceShare(), Instance: string(settings.Instance().ID),
+	})
+}
+
+func provideMetrics(desk *admit.Desk, views *route.Holder) *entry.Metrics {
+	return entry.NewMetrics(map[string]func() any{
+		"waiting":  func() any { waiting, _ := desk.Waiting(); return waiting },
+		"running":  func() any { _, running := desk.Waiting(); return running },
+		"members":  func() any { return len(views.Load().Active) },
+		"revision": func() any { return revisionOf(views.Load()) },
+	})
+}
+
+func revisionOf(view *route.View) uint64 {
+	if view.Published == nil {
+		return 0
+	}
+	return uint64(view.Published.Revision())
+}
+
+func provideLinkServer(settings *conf.Settings, loop *ctrl.Loop, claims *claim.Registry, views *route.Holder) *link.Server {
+	return link.NewServer(loop, claims, views, settings.ClaimShards())
+}
+
+func provideLinkClaims(settings *conf.Settings, registry *claim.Registry, views *route.Holder, dialer *link.Dialer) *link.Claims {
+	return link.NewClaims(registry, views, dialer, settings.ClaimShards())
+}
+
+func provideEntry(
+	settings *conf.Settings, incarnation cardamom.Incarnation, views *route.Holder, desk *admit.Desk, claims *link.Claims,
+	engines *engine.HTTP, ledger *poison.Ledger, tracer *trace.Tracer, metrics *entry.Metrics, logger hclog.Logger,
+) *entry.Server {
+	return entry.New(entry.Options{
+		Self: settings.Instance(), Incarnation: incarnation, MaxBody: settings.MaxBody(), AddressTTL: settings.AddressTTL(),
+		Views: views, Desk: desk, Claims: claims, Reporter: engines, Ledger: ledger, Tracer: tracer, Metrics: metrics,
+		Logger: logger.Named("entry"),
+	})
+}
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,167 @@
+// Package poison refuses requests that crash the upstreams that run them.
+//
+// A fingerprint is suspected when an upstream died while running it. A
+// suspected request runs on an upstream on which no other suspected one runs,
+// so that the next death has a single suspect. A fingerprint with two deaths is
+// refused until it expires.
+//
+// # Usage
+//
+//	ledger := poison.New()
+//	ledger.Blame(fingerprint, "runner-3/17", now)
+//	if ledger.Verdict(fingerprint, now) == poison.Refused { ... }
+package poison
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Fingerprint identifies a request's model and body.
+type Fingerprint uint64
+
+// Verdict is what is known of a fingerprint.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Clean Verdict = iota
+	Suspected
+	Refused
+)
+
+const (
+	// refuseAfter is how many deaths make a fingerprint refused.
+	refuseAfter = 2
+	// expiry is how long a death is remembered.
+	expiry = 10 * time.Minute
+	// maxSuspects bounds the ledger.
+	maxSuspects = 4096
+)
+
+// Suspect is a fingerprint with the upstream runs that died running it.
+type Suspect struct {
+	fingerprint Fingerprint
+	deaths      []string
+	expires     time.Time
+}
+
+// NewSuspect returns a suspect as a digest describes it.
+func NewSuspect(fingerprint Fingerprint, deaths []string, expires time.Time) Suspect {
+	return Suspect{fingerprint: fingerprint, deaths: deaths, expires: expires}
+}
+
+// Fingerprint returns the request's fingerprint.
+func (s Suspect) Fingerprint() Fingerprint { return s.fingerprint }
+
+// Deaths returns the upstream runs that died, in order of name.
+func (s Suspect) Deaths() []string { return s.deaths }
+
+// Expires returns when the suspect is forgotten.
+func (s Suspect) Expires() time.Time { return s.expires }
+
+// Ledger counts deaths by fingerprint. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	suspects map[Fingerprint]Suspect
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{suspects: make(map[Fingerprint]Suspect)}
+}
+
+// Blame counts the death of an upstream run against a fingerprint.
+func (l *Ledger) Blame(fingerprint Fingerprint, death string, now time.Time) {
+	l.Merge([]Suspect{NewSuspect(fingerprint, []string{death}, now.Add(expiry))}, now)
+}
+
+// Merge takes suspects from another instance. Deaths are united, so a death
+// told twice counts once.
+func (l *Ledger) Merge(suspects []Suspect, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, suspect := range suspects {
+		if !suspect.expires.After(now) {
+			continue
+		}
+		known, ok := l.suspects[suspect.fingerprint]
+		if !ok && len(l.suspects) >= maxSuspects {
+			l.sweep(now)
+		}
+		known.fingerprint = suspect.fingerprint
+		known.deaths = union(known.deaths, suspect.deaths)
+		if suspect.expires.After(known.expires) {
+			known.expires = suspect.expires
+		}
+		l.suspects[suspect.fingerprint] = known
+	}
+}
+
+// Verdict returns what is known of a fingerprint.
+func (l *Ledger) Verdict(fingerprint Fingerprint, now time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	suspect, ok := l.suspects[fingerprint]
+	switch {
+	case !ok || !suspect.expires.After(now):
+		return Clean
+	case len(suspect.deaths) >= refuseAfter:
+		return Refused
+	default:
+		return Suspected
+	}
+}
+
+// Suspects returns the unexpired suspects, those with most deaths first.
+func (l *Ledger) Suspects(now time.Time) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(now)
+	suspects := make([]Suspect, 0, len(l.suspects))
+	for _, suspect := range l.suspects {
+		suspects = append(suspects, suspect)
+	}
+	sort.Slice(suspects, func(i, j int) bool {
+		if len(suspects[i].deaths) != len(suspects[j].deaths) {
+			return len(suspects[i].deaths) > len(suspects[j].deaths)
+		}
+		return suspects[i].expires.After(suspects[j].expires)
+	})
+	return suspects
+}
+
+// sweep drops the expired suspects, and the one that expires first if none has.
+func (l *Ledger) sweep(now time.Time) {
+	var first Fingerprint
+	var earliest time.Time
+	for fingerprint, suspect := range l.suspects {
+		if !suspect.expires.After(now) {
+			delete(l.suspects, fingerprint)
+			continue
+		}
+		if earliest.IsZero() || suspect.expires.Before(earliest) {
+			first, earliest = fingerprint, suspect.expires
+		}
+	}
+	if len(l.suspects) >= maxSuspects {
+		delete(l.suspects, first)
+	}
+}
+
+func union(known, added []string) []string {
+	set := make(map[string]bool, len(known)+len(added))
+	for _, name := range known {
+		set[name] = true
+	}
+	for _, name := range added {
+		set[name] = true
+	}
+	names := make([]string, 0, len(set))
+	for name := range set {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names[:min(len(names), refuseAfter)]
+}
--- /dev/null
+++ b/policy/parse.go
@@ -0,0 +1,217 @@
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+	"sort"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/route/rank"
+)
+
+//go:embed schema.json
+var schema []byte
+
+// Defaults of a profile that names neither the knob nor a parent that does.
+const (
+	defaultPriority    = 5
+	defaultReplicas    = 2
+	defaultPlaces      = 1
+	defaultDeadline    = 30 * time.Second
+	defaultKeep        = "gaps"
+	defaultKeepFor     = 5 * time.Minute
+	defaultQueue       = 1000
+	defaultCallerLimit = 1000
+	defaultLoadStreams = 4
+	maxExtends         = 8
+)
+
+// Parse checks a document's source text and returns it. The error is a
+// *conf.CheckError that names every fault with its key and line.
+func Parse(name string, body []byte) (*Document, error) {
+	var wire documentWire
+	source, err := conf.Decode(name, body, schema, &wire)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{source: source, wire: wire, document: &Document{
+		profiles: make(map[string]*Profile, len(wire.Profiles)),
+		services: make(map[cardamom.ServiceID]*Service, len(wire.Services)),
+		models:   make(map[cardamom.ModelID]*Model, len(wire.Models)),
+	}}
+	p.parseProfiles()
+	p.parseServices()
+	p.parseModels()
+	if err := source.Err(); err != nil {
+		return nil, err
+	}
+	return p.document, nil
+}
+
+type parser struct {
+	source   *conf.Source
+	wire     documentWire
+	document *Document
+}
+
+func (p *parser) parseProfiles() {
+	for name := range p.wire.Profiles {
+		profile := &Profile{
+			name: name, priority: defaultPriority, replicas: defaultReplicas, places: defaultPlaces,
+			deadline: defaultDeadline, keep: defaultKeep, keepFor: defaultKeepFor,
+			queue: defaultQueue, callerLimit: defaultCallerLimit, idempotent: true,
+		}
+		p.applyProfile(profile, name, 0)
+		p.checkProfile(profile)
+		p.document.profiles[name] = profile
+	}
+}
+
+// applyProfile sets the knobs of the named profile over those of its parents.
+func (p *parser) applyProfile(profile *Profile, name string, depth int) {
+	wire := p.wire.Profiles[name]
+	if wire.Extends != "" {
+		_, known := p.wire.Profiles[wire.Extends]
+		if !known || depth >= maxExtends {
+			p.source.Faultf([]string{"profiles", name, "extends"}, "profile %q does not exist or extends itself", wire.Extends)
+			return
+		}
+		p.applyProfile(profile, wire.Extends, depth+1)
+	}
+	set(&profile.priority, wire.Priority)
+	set(&profile.replicas, wire.Replicas)
+	set(&profile.places, wire.Places)
+	set(&profile.keep, wire.Keep)
+	set(&profile.minWarm, wire.MinWarm)
+	set(&profile.queue, wire.Queue)
+	set(&profile.callerLimit, wire.CallerLimit)
+	set(&profile.idempotent, wire.Idempotent)
+	setMillis(&profile.deadline, wire.DeadlineMS)
+	setMillis(&profile.keepFor, wire.KeepMS)
+}
+
+func (p *parser) checkProfile(profile *Profile) {
+	path := []string{"profiles", profile.name}
+	if profile.places > profile.replicas {
+		p.source.Faultf(path, "places %d exceeds replicas %d: a place would have no replica", profile.places, profile.replicas)
+	}
+	if profile.minWarm > profile.replicas {
+		p.source.Faultf(path, "min_warm %d exceeds replicas %d", profile.minWarm, profile.replicas)
+	}
+	if profile.keep == "always" && profile.minWarm == 0 {
+		p.source.Faultf(path, "keep %q needs min_warm of at least 1", profile.keep)
+	}
+}
+
+func (p *parser) parseServices() {
+	for name, wire := range p.wire.Services {
+		service := &Service{
+			id: cardamom.ServiceID(name), kind: KindPlain, fencing: wire.Fencing,
+			memory: wire.RunnerMemoryMB, loadStreams: wire.LoadStreams,
+		}
+		if service.loadStreams == 0 {
+			service.loadStreams = defaultLoadStreams
+		}
+		for _, place := range wire.Places {
+			service.places = append(service.places, cardamom.Place(place))
+		}
+		if wire.Kind == "models" {
+			service.kind = KindModels
+			service.cells = cellsOf(service, max(wire.CellsPerPlace, 1))
+			if wire.RunnerMemoryMB == 0 {
+				p.source.Faultf([]string{"services", name}, "a models service needs runner_memory_mb")
+			}
+		} else {
+			service.profile = p.profileOf(wire.Profile, "services", name)
+		}
+		p.document.services[service.id] = service
+	}
+}
+
+func cellsOf(service *Service, perPlace int) []cardamom.CellID {
+	var cells []cardamom.CellID
+	for n := range perPlace {
+		for _, place := range service.places {
+			cells = append(cells, cardamom.CellID(fmt.Sprintf("%s/%s/%d", service.id, place, n)))
+		}
+	}
+	return cells
+}
+
+func (p *parser) profileOf(profile, kind, name string) *Profile {
+	known, ok := p.document.profiles[profile]
+	if !ok {
+		p.source.Faultf([]string{kind, name, "profile"}, "profile %q does not exist", profile)
+		return &Profile{name: profile, replicas: 1, places: 1}
+	}
+	return known
+}
+
+func (p *parser) parseModels() {
+	for name, wire := range p.wire.Models {
+		service, ok := p.document.services[cardamom.ServiceID(wire.Service)]
+		if !ok || service.kind != KindModels {
+			p.source.Faultf([]string{"models", name, "service"}, "service %q is not a models service", wire.Service)
+			continue
+		}
+		model := &Model{
+			id: cardamom.ModelID(name), service: service, base: cardamom.ModelID(wire.Base),
+			profile: p.profileOf(wire.Profile, "models", name), memory: wire.MemoryMB, checkpoint: wire.CheckpointMB,
+		}
+		model.cells = homeCells(service, model, wire)
+		p.document.models[model.id] = model
+		p.document.order = append(p.document.order, model.id)
+	}
+	sort.Slice(p.document.order, func(i, j int) bool { return p.document.order[i] < p.document.order[j] })
+	for _, id := range p.document.order {
+		p.checkModel(p.document.models[id])
+	}
+}
+
+// homeCells ranks the cells by the base's name, so that an adapter and its base
+// share their cells, and takes the first of each place.
+func homeCells(service *Service, model *Model, wire modelWire) []cardamom.CellID {
+	key := string(model.id)
+	if wire.Base != "" {
+		key = wire.Base
+	}
+	ranked := rank.Order(key, service.cells)
+	return ranked[:min(max(model.profile.places, 1), len(ranked))]
+}
+
+func (p *parser) checkModel(model *Model) {
+	path := []string{"models", string(model.id)}
+	need := model.memory
+	if model.base != "" {
+		base, ok := p.document.models[model.base]
+		if !ok || base.base != "" || base.service != model.service {
+			p.source.Faultf(append(path, "base"), "base %q is not a model of service %q", model.base, model.service.id)
+			return
+		}
+		if base.profile.places < model.profile.places || base.profile.replicas < model.profile.replicas {
+			p.source.Faultf(path, "quota %d over %d places exceeds that of base %q", model.profile.replicas, model.profile.places, model.base)
+		}
+		need += base.memory
+	}
+	if need > model.service.memory {
+		p.source.Faultf(path, "needs %d MB, a runner of %q has %d MB", need, model.service.id, model.service.memory)
+	}
+	if model.profile.places > len(model.service.cells) {
+		p.source.Faultf(path, "profile %q spreads over %d places, service %q has %d cells",
+			model.profile.name, model.profile.places, model.service.id, len(model.service.cells))
+	}
+}
+
+func set[T any](field, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+func setMillis(field *time.Duration, value *int64) {
+	if value != nil {
+		*field = time.Duration(*value) * time.Millisecond
+	}
+}
--- /dev/null
+++ b/revs/revs.go
@@ -0,0 +1,192 @@
+// Package revs keeps the published revisions of the profile document in the
+// platform's table.
+//
+// # Usage
+//
+//	head, err := revs.Head(ctx, store)
+//	published, err := revs.Publish(ctx, store, revs.Edit{Base: head.Number, ID: id, Editor: "ana", Document: body}, time.Now())
+//
+// Publishing is idempotent by the edit's identity. A lost reply is resolved by
+// reading back, never by guessing.
+package revs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/table"
+)
+
+// Errors of publishing.
+var (
+	// ErrConflict means that another edit was published over the same base.
+	ErrConflict = eris.New("another revision was published first")
+	// ErrNone means that the revision does not exist.
+	ErrNone = eris.New("no such revision")
+)
+
+const (
+	headKey        = "profile/head"
+	revisionPrefix = "profile/revision/"
+	editPrefix     = "profile/edit/"
+	// publishTries is how often a commit of unknown fate is repeated.
+	publishTries = 5
+	// publishPause is the pause between two tries.
+	publishPause = 300 * time.Millisecond
+)
+
+// Revision is one published state of the document.
+type Revision struct {
+	Number   cardamom.Revision
+	Edit     string
+	Editor   string
+	At       time.Time
+	Note     string
+	Document []byte
+}
+
+// Edit is a change to publish. Its identity is chosen before the first try.
+type Edit struct {
+	// Base is the revision the edit was made on, 0 for the first.
+	Base     cardamom.Revision
+	ID       string
+	Editor   string
+	Note     string
+	Document []byte
+}
+
+type revisionWire struct {
+	Revision uint64    `json:"revision"`
+	Edit     string    `json:"edit"`
+	Editor   string    `json:"editor"`
+	At       time.Time `json:"at"`
+	Note     string    `json:"note,omitempty"`
+	Document []byte    `json:"document,omitempty"`
+}
+
+func (w revisionWire) domain() Revision {
+	return Revision{
+		Number: cardamom.Revision(w.Revision), Edit: w.Edit, Editor: w.Editor, At: w.At, Note: w.Note, Document: w.Document,
+	}
+}
+
+// Head returns the newest revision without its document, number 0 if there is none.
+func Head(ctx context.Context, store table.Reader) (Revision, error) {
+	revision, _, err := read(ctx, store, headKey)
+	if errors.Is(err, ErrNone) {
+		return Revision{}, nil
+	}
+	return revision, err
+}
+
+// Get returns a revision with its document.
+func Get(ctx context.Context, store table.Reader, number cardamom.Revision) (Revision, error) {
+	revision, _, err := read(ctx, store, revisionKey(number))
+	return revision, err
+}
+
+// History returns all revisions in order.
+func History(ctx context.Context, store table.Reader) ([]Revision, error) {
+	rows, err := store.List(ctx, revisionPrefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "list revisions")
+	}
+	history := make([]Revision, 0, len(rows))
+	for _, row := range rows {
+		var wire revisionWire
+		if err := json.Unmarshal(row.Value(), &wire); err != nil {
+			return nil, eris.Wrapf(err, "decode %s", row.Key())
+		}
+		history = append(history, wire.domain())
+	}
+	return history, nil
+}
+
+// Publish makes the edit's document the next revision and returns it.
+func Publish(ctx context.Context, store table.Store, edit Edit, now time.Time) (Revision, error) {
+	var err error
+	for try := range publishTries {
+		if try > 0 && !pause(ctx) {
+			break
+		}
+		var revision Revision
+		revision, err = publishOnce(ctx, store, edit, now)
+		if err == nil || errors.Is(err, ErrConflict) {
+			return revision, err
+		}
+	}
+	return Revision{}, eris.Wrapf(err, "outcome of edit %s is not known: publish it again under the same identity", edit.ID)
+}
+
+// publishOnce first looks whether an earlier try has taken effect.
+func publishOnce(ctx context.Context, store table.Store, edit Edit, now time.Time) (Revision, error) {
+	done, _, err := read(ctx, store, editPrefix+edit.ID)
+	if err == nil {
+		return done, nil
+	}
+	if !errors.Is(err, ErrNone) {
+		return Revision{}, err
+	}
+	head, version, err := read(ctx, store, headKey)
+	if err != nil && !errors.Is(err, ErrNone) {
+		return Revision{}, err
+	}
+	if head.Number != edit.Base {
+		return head, ErrConflict
+	}
+	wire := revisionWire{Revision: uint64(edit.Base) + 1, Edit: edit.ID, Editor: edit.Editor, At: now, Note: edit.Note}
+	short, err := json.Marshal(wire)
+	if err != nil {
+		return Revision{}, eris.Wrap(err, "encode head")
+	}
+	wire.Document = edit.Document
+	long, err := json.Marshal(wire)
+	if err != nil {
+		return Revision{}, eris.Wrap(err, "encode revision")
+	}
+	_, err = store.Commit(ctx,
+		table.Put(headKey, version, short),
+		table.Put(revisionKey(edit.Base+1), 0, long),
+		table.Put(editPrefix+edit.ID, 0, short),
+	)
+	if errors.Is(err, table.ErrConflict) {
+		return Revision{}, eris.Wrap(err, "published meanwhile")
+	}
+	return wire.domain(), eris.Wrap(err, "commit revision")
+}
+
+func revisionKey(number cardamom.Revision) string {
+	return fmt.Sprintf("%s%010d", revisionPrefix, number)
+}
+
+func read(ctx context.Context, store table.Reader, key string) (Revision, uint64, error) {
+	row, err := store.Get(ctx, key)
+	if err != nil {
+		return Revision{}, 0, eris.Wrapf(err, "read %s", key)
+	}
+	if row.Version() == 0 {
+		return Revision{}, 0, ErrNone
+	}
+	var wire revisionWire
+	if err := json.Unmarshal(row.Value(), &wire); err != nil {
+		return Revision{}, 0, eris.Wrapf(err, "decode %s", key)
+	}
+	return wire.domain(), row.Version(), nil
+}
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(publishPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,113 @@
+// Package roster reads the platform's lagging list of live and leaving machines.
+//
+// # Usage
+//
+//	list, err := roster.NewHTTP("127.0.0.1:7002", time.Second).Fetch(ctx)
+//	for _, u := range list.Upstreams() { ... }
+//
+// The list names whom to try. It may still name a machine that is gone and not
+// yet name one that has come.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+// ErrUnavailable means the list could not be read.
+var ErrUnavailable = eris.New("list unavailable")
+
+// List is one reading of the platform's list.
+type List struct {
+	instances []cardamom.Instance
+	upstreams []cardamom.Upstream
+}
+
+// NewList returns a list of the given machines.
+func NewList(instances []cardamom.Instance, upstreams []cardamom.Upstream) *List {
+	return &List{instances: instances, upstreams: upstreams}
+}
+
+// Instances returns the listed entry instances.
+func (l *List) Instances() []cardamom.Instance { return l.instances }
+
+// Upstreams returns the listed upstreams.
+func (l *List) Upstreams() []cardamom.Upstream { return l.upstreams }
+
+// MachineWire is the JSON form of a listed machine.
+type MachineWire struct {
+	ID      string `json:"id"`
+	Service string `json:"service,omitempty"`
+	Place   string `json:"place"`
+	Address string `json:"address"`
+	Peer    string `json:"peer,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// ListWire is the JSON form of the list.
+type ListWire struct {
+	Instances []MachineWire `json:"instances"`
+	Upstreams []MachineWire `json:"upstreams"`
+}
+
+// HTTP reads the list over the platform's HTTP interface.
+type HTTP struct {
+	url    string
+	client *http.Client
+}
+
+// NewHTTP returns a reader of the list at address whose calls last at most timeout.
+func NewHTTP(address string, timeout time.Duration) *HTTP {
+	return &HTTP{url: "http://" + address + "/list", client: &http.Client{Timeout: timeout}}
+}
+
+// Fetch returns the list as the platform knows it.
+func (h *HTTP) Fetch(ctx context.Context) (*List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build list request")
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, ErrUnavailable
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrUnavailable
+	}
+	var wire ListWire
+	if err := json.NewDecoder(resp.Body).Decode(&wire); err != nil {
+		return nil, eris.Wrap(err, "decode list")
+	}
+	return wire.domain(), nil
+}
+
+func (w ListWire) domain() *List {
+	list := &List{}
+	for _, m := range w.Instances {
+		list.instances = append(list.instances, cardamom.Instance{
+			ID: cardamom.InstanceID(m.ID), Place: cardamom.Place(m.Place),
+			CallerAddress: m.Address, PeerAddress: m.Peer, State: m.state(),
+		})
+	}
+	for _, m := range w.Upstreams {
+		list.upstreams = append(list.upstreams, cardamom.Upstream{
+			ID: cardamom.UpstreamID(m.ID), Service: cardamom.ServiceID(m.Service),
+			Place: cardamom.Place(m.Place), Address: m.Address, State: m.state(),
+		})
+	}
+	return list
+}
+
+func (w MachineWire) state() cardamom.UpstreamState {
+	if w.Leaving {
+		return cardamom.Leaving
+	}
+	return cardamom.Live
+}
--- /dev/null
+++ b/route/place.go
@@ -0,0 +1,49 @@
+package route
+
+import (
+	"strings"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/peers"
+	"cardamomcourse.example/cardamom/policy"
+	"cardamomcourse.example/cardamom/route/rank"
+)
+
+// PlaceOf returns the place in a cell's name.
+func PlaceOf(cell cardamom.CellID) cardamom.Place {
+	parts := strings.Split(string(cell), "/")
+	if len(parts) != 3 {
+		return ""
+	}
+	return cardamom.Place(parts[1])
+}
+
+// CellOf returns the cell of a service that an upstream belongs to.
+func CellOf(service *policy.Service, upstream cardamom.Upstream) (cardamom.CellID, bool) {
+	var local []cardamom.CellID
+	for _, cell := range service.Cells() {
+		if PlaceOf(cell) == upstream.Place {
+			local = append(local, cell)
+		}
+	}
+	if len(local) == 0 {
+		return "", false
+	}
+	return rank.Order(string(upstream.ID), local)[0], true
+}
+
+// Followers returns the active instances that follow a cell: those in its
+// place, all if there are none.
+func Followers(cell cardamom.CellID, active []peers.Member) []cardamom.InstanceID {
+	var local, all []cardamom.InstanceID
+	for _, member := range active {
+		all = append(all, member.Instance().ID)
+		if member.Instance().Place == PlaceOf(cell) {
+			local = append(local, member.Instance().ID)
+		}
+	}
+	if len(local) > 0 {
+		return local
+	}
+	return all
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,82 @@
+// Package table is the client side of the platform's transactional table.
+//
+// # Usage
+//
+//	client := table.NewHTTP("127.0.0.1:7001", 2*time.Second)
+//	row, err := client.Get(ctx, "profile/current")
+//	version, err := client.Commit(ctx, table.Put(row.Key(), row.Version(), body))
+//
+// A commit that returns ErrUnknown may have taken effect: read the row back
+// before anything else is tried.
+package table
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of the table.
+var (
+	// ErrConflict means a row was not at the expected version; nothing was written.
+	ErrConflict = eris.New("table row is at another version")
+	// ErrUnavailable means the table did not take the call; nothing was written.
+	ErrUnavailable = eris.New("table unavailable")
+	// ErrUnknown means the reply was lost; the write may have taken effect.
+	ErrUnknown = eris.New("table reply lost")
+)
+
+// Row is one versioned value. Version 0 means the row does not exist.
+type Row struct {
+	key     string
+	value   []byte
+	version uint64
+}
+
+// NewRow returns a row.
+func NewRow(key string, value []byte, version uint64) Row {
+	return Row{key: key, value: value, version: version}
+}
+
+// Key returns the row's name.
+func (r Row) Key() string { return r.key }
+
+// Value returns the row's content.
+func (r Row) Value() []byte { return r.value }
+
+// Version returns the commit that wrote the row.
+func (r Row) Version() uint64 { return r.version }
+
+// Write is one conditional write of a transaction.
+type Write struct {
+	Key     string
+	Expect  uint64
+	Value   []byte
+	Deleted bool
+}
+
+// Put returns a write that takes effect if the row is at version expect.
+func Put(key string, expect uint64, value []byte) Write {
+	return Write{Key: key, Expect: expect, Value: value}
+}
+
+// Reader reads rows.
+type Reader interface {
+	// Get returns the row, with version 0 if it does not exist.
+	Get(ctx context.Context, key string) (Row, error)
+	// List returns the rows whose key starts with prefix, in key order.
+	List(ctx context.Context, prefix string) ([]Row, error)
+}
+
+// Committer writes rows.
+type Committer interface {
+	// Commit applies all writes or none and returns the commit's version,
+	// which is greater than that of every earlier commit.
+	Commit(ctx context.Context, writes ...Write) (uint64, error)
+}
+
+// Store reads and writes rows.
+type Store interface {
+	Reader
+	Committer
+}
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,108 @@
+// Package trace sets up OpenTelemetry spans and their W3C headers.
+//
+// # Usage
+//
+//	tracer, err := trace.New(trace.Options{File: "spans.json", Share: 1, Instance: "entry-1"})
+//	defer tracer.Close(ctx)
+//	ctx, span := tracer.Start(tracer.Extract(ctx, r.Header), "entry")
+package trace
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Options tell where spans go.
+type Options struct {
+	// URL is the OTLP/HTTP endpoint, empty for none.
+	URL string
+	// File is the file spans are appended to as JSON, empty for none.
+	File string
+	// Share is the share of new traces that is recorded, 0 to 1.
+	Share    float64
+	Instance string
+}
+
+// Tracer starts spans and reads and writes their headers.
+type Tracer struct {
+	tracer     oteltrace.Tracer
+	propagator propagation.TextMapPropagator
+	close      func(ctx context.Context) error
+}
+
+// New returns a tracer. Without URL and file it records nothing but still
+// passes the caller's headers on.
+func New(options Options) (*Tracer, error) {
+	t := &Tracer{
+		tracer:     noop.NewTracerProvider().Tracer("cardamom"),
+		propagator: propagation.TraceContext{},
+		close:      func(context.Context) error { return nil },
+	}
+	exporter, closeFile, err := newExporter(options)
+	if err != nil || exporter == nil {
+		return t, err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(options.Share))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "cardd"),
+			attribute.String("service.instance.id", options.Instance),
+		)),
+	)
+	t.tracer = provider.Tracer("cardamom")
+	t.close = func(ctx context.Context) error {
+		shutdownErr := provider.Shutdown(ctx)
+		if closeErr := closeFile(); closeErr != nil {
+			return eris.Wrap(closeErr, "close span file")
+		}
+		return eris.Wrap(shutdownErr, "stop tracer")
+	}
+	return t, nil
+}
+
+func newExporter(options Options) (sdktrace.SpanExporter, func() error, error) {
+	nothing := func() error { return nil }
+	if options.URL != "" {
+		exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(options.URL))
+		return exporter, nothing, eris.Wrap(err, "start OTLP exporter")
+	}
+	if options.File == "" {
+		return nil, nothing, nil
+	}
+	file, err := os.OpenFile(options.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, nothing, eris.Wrap(err, "open span file")
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	return exporter, file.Close, eris.Wrap(err, "start file exporter")
+}
+
+// Start starts a span.
+func (t *Tracer) Start(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, oteltrace.Span) {
+	return t.tracer.Start(ctx, name, oteltrace.WithAttributes(attributes...))
+}
+
+// Extract returns a context that continues the trace of the headers.
+func (t *Tracer) Extract(ctx context.Context, header http.Header) context.Context {
+	return t.propagator.Extract(ctx, propagation.HeaderCarrier(header))
+}
+
+// Inject writes the trace of the context to the headers.
+func (t *Tracer) Inject(ctx context.Context, header http.Header) {
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+}
+
+// Close sends what is left and stops.
+func (t *Tracer) Close(ctx context.Context) error { return t.close(ctx) }
