Act for ended holders without the table, move holds home, share slots

Cause: with the table down, 33% of the shards had a dead holder or witness and refused claims until it returned (claims-unavailable 296 of 1,500 first sends). An instance that started alone took every hold, and a queued request was stranded when its instance stopped following the cell (130 of 400 in the burst refused at their deadline after 20 s). Ruled out: a lost order (none was sent), a stuck watch (its replies went on).

Change: the witness of an ended holder acts for it and a holder goes on without an ended witness, both without a write; vacant holds wait until the listed members were heard of; a hold moves to the instance that ranks first; a follow lasts while requests wait; the holder tells followers how many share an upstream.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -79,14 +79,13 @@
 
 // Desk holds the queues of one instance. It is safe for concurrent use.
 type Desk struct {
-	mu        sync.Mutex
-	queues    map[cardamom.ModelID]*queue
-	cells     map[cardamom.ModelID]cardamom.CellID
-	windows   map[cardamom.UpstreamID]*window
-	seats     map[cells.Seat]int
-	callers   map[string]int
-	followers int
-	demand    Demand
+	mu      sync.Mutex
+	queues  map[cardamom.ModelID]*queue
+	cells   map[cardamom.ModelID]cardamom.CellID
+	windows map[cardamom.UpstreamID]*window
+	seats   map[cells.Seat]int
+	callers map[string]int
+	demand  Demand
 }
 
 // New returns a desk without queues that tells demand of cells with news.
@@ -208,7 +207,7 @@
 func (d *Desk) window(replica cells.Replica) *window {
 	w, ok := d.windows[replica.Upstream]
 	if !ok {
-		w = newWindow(replica.Slots, d.followers)
+		w = newWindow(replica)
 		d.windows[replica.Upstream] = w
 	}
 	return w
@@ -329,11 +328,10 @@
 	return true
 }
 
-// Update takes the replicas of a cell's models and how many instances follow it.
-func (d *Desk) Update(cell cardamom.CellID, replicas map[cardamom.ModelID][]cells.Replica, followers int, now time.Time) {
+// Update takes the replicas of a cell's models.
+func (d *Desk) Update(cell cardamom.CellID, replicas map[cardamom.ModelID][]cells.Replica, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.followers = followers
 	seen := make(map[cardamom.UpstreamID]bool)
 	for model, list := range replicas {
 		q := d.queue(model)
@@ -424,6 +422,18 @@
 	return use
 }
 
+// Busy tells whether requests for the models of a cell wait or run here.
+func (d *Desk) Busy(cell cardamom.CellID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for model, q := range d.queues {
+		if d.cells[model] == cell && len(q.waiting)+q.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Waiting returns how many requests wait and how many run.
 func (d *Desk) Waiting() (waiting, running int) {
 	d.mu.Lock()
--- a/admit/window.go
+++ b/admit/window.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"math"
+
 	"cardamomcourse.example/cardamom/cells"
 )
 
@@ -19,15 +21,20 @@
 // starts at the instance's share of the slots and follows the upstream's queue.
 type window struct {
 	limit    float64
+	sharers  int
 	slots    int
 	inflight int
 	suspects int
 	full     bool
 }
 
-func newWindow(slots, followers int) *window {
-	share := float64(slots) / float64(max(followers, 1))
-	return &window{limit: max(share, 1), slots: slots}
+func newWindow(replica cells.Replica) *window {
+	return &window{limit: share(replica), sharers: replica.Sharers, slots: replica.Slots}
+}
+
+// share returns an even share of the slots, rounded up.
+func share(replica cells.Replica) float64 {
+	return max(math.Ceil(float64(replica.Slots)/float64(max(replica.Sharers, 1))), 1)
 }
 
 func (w *window) open(suspect bool) bool {
@@ -56,6 +63,9 @@
 func (w *window) adjust(replica cells.Replica) {
 	w.slots = replica.Slots
 	switch {
+	case replica.Sharers != w.sharers:
+		w.sharers = replica.Sharers
+		w.limit = share(replica)
 	case float64(replica.Waiting) > longQueue*float64(w.slots):
 		w.limit = max(w.limit*windowShrink, 1)
 	case w.full && replica.Waiting == 0:
--- a/cells/export.go
+++ b/cells/export.go
@@ -21,10 +21,12 @@
 // Replica is one model on one upstream, as followers see it.
 type Replica struct {
 	Seat
-	Address     string
-	State       ReplicaState
-	ReadyIn     time.Duration
-	Slots       int
+	Address string
+	State   ReplicaState
+	ReadyIn time.Duration
+	Slots   int
+	// Sharers is how many followers have demand for the upstream.
+	Sharers     int
 	Running     int
 	Waiting     int
 	Incarnation cardamom.Incarnation
@@ -80,7 +82,7 @@
 			delta.Replicas = append(delta.Replicas, x.replica)
 		}
 	}
-	sort.Slice(delta.Replicas, func(i, j int) bool { return delta.Replicas[i].Seat.less(delta.Replicas[j].Seat) })
+	sort.Slice(delta.Replicas, func(i, j int) bool { return delta.Replicas[i].less(delta.Replicas[j].Seat) })
 	if delta.Snapshot {
 		return delta
 	}
@@ -103,9 +105,10 @@
 func (c *Cell) export() {
 	current := make(map[Seat]Replica)
 	for id, u := range c.upstreams {
+		sharers := c.sharers(u)
 		for model, loaded := range u.loaded {
 			seat := Seat{Model: model, Upstream: id}
-			current[seat] = u.replica(seat, loaded)
+			current[seat] = u.replica(seat, loaded, sharers)
 		}
 	}
 	for seat, replica := range current {
@@ -118,7 +121,27 @@
 	}
 }
 
-func (u *upstream) replica(seat Seat, loaded engine.Loaded) Replica {
+// sharers returns how many followers have demand for a model on the upstream.
+func (c *Cell) sharers(u *upstream) int {
+	sharers := 0
+	for _, w := range c.watchers {
+		if w.shares(u) {
+			sharers++
+		}
+	}
+	return sharers
+}
+
+func (w *watcher) shares(u *upstream) bool {
+	for model := range w.uses {
+		if _, loaded := u.loaded[model]; loaded {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *upstream) replica(seat Seat, loaded engine.Loaded, sharers int) Replica {
 	state := ReplicaLoading
 	if loaded.State == engine.Ready {
 		state = ReplicaReady
@@ -128,7 +151,7 @@
 		state = ReplicaDraining
 	}
 	return Replica{
-		Seat: seat, Address: u.listed.Address, State: state, ReadyIn: loaded.ReadyIn, Slots: u.slots,
+		Seat: seat, Address: u.listed.Address, State: state, ReadyIn: loaded.ReadyIn, Slots: u.slots, Sharers: sharers,
 		Running: loaded.Running, Waiting: loaded.Waiting, Incarnation: u.incarnation,
 	}
 }
@@ -147,7 +170,7 @@
 // changed tells whether followers must hear of the difference at once. Load
 // that wavers is not news.
 func changed(before, after Replica) bool {
-	return before.State != after.State || before.Address != after.Address || before.Slots != after.Slots ||
+	return before.State != after.State || before.Address != after.Address || before.Slots != after.Slots || before.Sharers != after.Sharers ||
 		before.Incarnation != after.Incarnation || (before.Waiting == 0) != (after.Waiting == 0)
 }
 
--- /dev/null
+++ b/cmd/cardctl/status.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// statusWire is what is shown of an instance's status.
+type statusWire struct {
+	Instance string `json:"instance"`
+	Place    string `json:"place"`
+	Ready    bool   `json:"ready"`
+	Unready  string `json:"unready,omitempty"`
+	Leaving  bool   `json:"leaving"`
+	Revision uint64 `json:"revision"`
+	Members  []struct {
+		ID       string `json:"id"`
+		Place    string `json:"place"`
+		Revision uint64 `json:"revision"`
+	} `json:"members"`
+	Claims []struct {
+		Resource string `json:"resource"`
+		Holder   string `json:"holder"`
+		Witness  string `json:"witness,omitempty"`
+	} `json:"claims"`
+	Cells []struct {
+		Cell     string `json:"cell"`
+		Models   int    `json:"models"`
+		Replicas int    `json:"replicas"`
+	} `json:"cells"`
+}
+
+func statusCommand() *cobra.Command {
+	var address string
+	command := &cobra.Command{
+		Use: "status", Short: "Show what an instance knows", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			client := &http.Client{Timeout: callTimeout}
+			response, err := client.Get("http://" + address + "/v1/status")
+			if err != nil {
+				return eris.Wrap(err, "ask instance")
+			}
+			defer response.Body.Close()
+			var status statusWire
+			if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+				return eris.Wrap(err, "decode status")
+			}
+			return show(command, status, status.text())
+		},
+	}
+	command.Flags().StringVar(&address, "instance", "127.0.0.1:7400", "address of the instance for callers")
+	return command
+}
+
+func (s statusWire) text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s in %s: ready=%t leaving=%t revision=%d %s\n", s.Instance, s.Place, s.Ready, s.Leaving, s.Revision, s.Unready)
+	for _, m := range s.Members {
+		fmt.Fprintf(&text, "member  %-24s %-16s revision %d\n", m.ID, m.Place, m.Revision)
+	}
+	for _, c := range s.Claims {
+		fmt.Fprintf(&text, "%-31s held by %s, witness %s\n", c.Resource, c.Holder, c.Witness)
+	}
+	for _, c := range s.Cells {
+		fmt.Fprintf(&text, "cell    %-24s %d models loaded, %d replicas\n", c.Cell, c.Models, c.Replicas)
+	}
+	return strings.TrimRight(text.String(), "\n")
+}
--- a/cmd/cardd/dev.go
+++ b/cmd/cardd/dev.go
@@ -1,9 +1,238 @@
 package main
 
 import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/fakes/caller"
+	"cardamomcourse.example/cardamom/logs"
+	"cardamomcourse.example/cardamom/node"
+	"cardamomcourse.example/cardamom/policy"
+	"cardamomcourse.example/cardamom/revs"
+	"cardamomcourse.example/cardamom/roster"
+	"cardamomcourse.example/cardamom/table"
+)
+
+//go:embed dev.profiles.jsonc
+var devProfiles []byte
+
+const (
+	// devLimit bounds the whole demonstration.
+	devLimit = 60 * time.Second
+	// devPlace is the place everything runs in.
+	devPlace = "dev"
+	// devTokens is the length of each answer.
+	devTokens = 12
+	// barWidth is the width in characters of the longest bar.
+	barWidth = 50
 )
 
 func devCommand() *cobra.Command {
-	return &cobra.Command{Use: "dev", Short: "Show a cold model served, all in one process", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return nil }}
+	var verbose bool
+	command := &cobra.Command{
+		Use: "dev", Short: "Show a cold model loaded and streamed, all in one process", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(command.Context(), devLimit)
+			defer cancel()
+			level := "error"
+			if verbose {
+				level = "info"
+			}
+			return demonstrate(ctx, command.OutOrStdout(), logs.New(command.ErrOrStderr(), "dev", level))
+		},
+	}
+	command.Flags().BoolVar(&verbose, "verbose", false, "print the instances' logs")
+	return command
+}
+
+// demonstrate runs two instances on stand-ins and shows what requests meet.
+func demonstrate(ctx context.Context, out io.Writer, logger hclog.Logger) error {
+	document, err := policy.Parse("dev.profiles.jsonc", devProfiles)
+	if err != nil {
+		return err
+	}
+	platform, err := fakes.StartPlatform(fakes.PlatformOptions{
+		TableAddress: "127.0.0.1:0", ListAddress: "127.0.0.1:0", WeightsAddress: "127.0.0.1:0",
+		ReadsPerSec: 2000, WritesPerSec: 400, ListLag: 100 * time.Millisecond,
+		LoadsPerSec: 3, LoadStreams: 4, LoadMBPerSec: 10000, Document: document,
+	})
+	if err != nil {
+		return err
+	}
+	defer platform.Close()
+	stop, err := startDevRunners(platform)
+	defer stop()
+	if err != nil {
+		return err
+	}
+	store := table.NewHTTP(platform.TableAddress(), 2*time.Second)
+	if _, err := revs.Publish(ctx, store, revs.Edit{ID: "dev", Editor: "dev", Document: devProfiles}, time.Now()); err != nil {
+		return err
+	}
+	addresses, wait, err := startDevInstances(ctx, platform, logger)
+	if err != nil {
+		return err
+	}
+	defer wait()
+	fmt.Fprintln(out, "two instances, two runners, one platform, all in this process")
+	return showRequests(ctx, out, caller.New(addresses, devPlace), platform)
+}
+
+func startDevRunners(platform *fakes.Platform) (func(), error) {
+	var runners []*fakes.Runner
+	stop := func() {
+		for _, runner := range runners {
+			runner.Close()
+		}
+	}
+	for n := range 2 {
+		runner, err := fakes.StartRunner(fakes.RunnerOptions{
+			ID: fmt.Sprintf("runner-%d", n+1), Service: "dev-models", Place: devPlace, Address: "127.0.0.1:0",
+			Weights: platform.WeightsAddress(), MemoryMB: 40000, Slots: 8, Fencing: true, CacheMB: 100000,
+			DiskMBPerSec: 50000, MemoryMBPerSec: 200000, Prefill: 40 * time.Millisecond, Interval: 15 * time.Millisecond,
+		})
+		if err != nil {
+			return stop, err
+		}
+		runners = append(runners, runner)
+	}
+	return stop, nil
+}
+
+// startDevInstances starts two instances and returns their addresses and a
+// function that ends them.
+func startDevInstances(ctx context.Context, platform *fakes.Platform, logger hclog.Logger) ([]string, func(), error) {
+	runCtx, cancel := context.WithCancel(ctx)
+	var addresses []string
+	var ends []chan error
+	stop := func() {
+		cancel()
+		for _, end := range ends {
+			if err := <-end; err != nil {
+				logger.Error("instance_failed", "error", err)
+			}
+		}
+	}
+	for n := range 2 {
+		settings, err := devSettings(n, platform)
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+		instance, err := node.Build(settings, logger)
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+		end := make(chan error, 1)
+		go func() { end <- instance.Run(runCtx) }()
+		ends = append(ends, end)
+		addresses = append(addresses, settings.Instance().CallerAddress)
+		platform.List.Add(roster.MachineWire{
+			ID: string(settings.Instance().ID), Place: devPlace,
+			Address: settings.Instance().CallerAddress, Peer: settings.Instance().PeerAddress,
+		}, true, time.Now())
+	}
+	return addresses, stop, nil
+}
+
+func devSettings(n int, platform *fakes.Platform) (*conf.Settings, error) {
+	callers, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(`{
+		"instance": "entry-%d", "place": %q, "caller_address": %q, "peer_address": %q,
+		"platform": {"table": %q, "list": %q, "poll_ms": 200},
+		"requests": {"drain_ms": 1000}
+	}`, n+1, devPlace, callers, peers, platform.TableAddress(), platform.ListAddress())
+	return conf.Parse("dev", []byte(text))
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find free port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// shown is one request of the demonstration.
+type shown struct {
+	title  string
+	model  string
+	result caller.Result
+}
+
+func showRequests(ctx context.Context, out io.Writer, c *caller.Caller, platform *fakes.Platform) error {
+	requests := []shown{
+		{title: "a cold model", model: "writer"},
+		{title: "the same, now warm", model: "writer"},
+		{title: "an adapter on the warm base", model: "writer-poems"},
+		{title: "a second cold model", model: "reader"},
+		{title: "an unknown model", model: "nobody"},
+	}
+	for i := range requests {
+		requests[i].result = ask(ctx, c, requests[i].model)
+	}
+	longest := time.Millisecond
+	for _, r := range requests {
+		longest = max(longest, r.result.Total)
+	}
+	fmt.Fprintf(out, "\n%-30s %-10s %8s %8s  %s\n", "request", "outcome", "first", "total", "░ waiting  █ streaming")
+	for _, r := range requests {
+		fmt.Fprintf(out, "%-30s %-10s %8s %8s  %s\n", r.title, r.result.Outcome,
+			r.result.First.Round(time.Millisecond), r.result.Total.Round(time.Millisecond), bar(r.result, longest))
+	}
+	truth := platform.Truth.Snapshot(time.Now())
+	fmt.Fprintln(out, "\nloads, as the runners saw them:")
+	for model, count := range truth.Loads {
+		fmt.Fprintf(out, "  %-14s %d\n", model, count)
+	}
+	for _, r := range requests[:4] {
+		if r.result.Outcome != cardamom.Served || !r.result.Whole {
+			return eris.Errorf("%s was not served whole: %s %s", r.title, r.result.Outcome, r.result.Reason)
+		}
+	}
+	return nil
+}
+
+// ask makes one call, repeated while the instances are still starting.
+func ask(ctx context.Context, c *caller.Caller, model string) caller.Result {
+	for {
+		result := c.Do(ctx, caller.Request{
+			Model: model, Prompt: "Tell me about " + model, Tokens: devTokens, Stream: true, Deadline: 20 * time.Second,
+		})
+		if result.Reason != "no-address" || ctx.Err() != nil || model == "nobody" {
+			return result
+		}
+		timer := time.NewTimer(50 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+}
+
+func bar(result caller.Result, longest time.Duration) string {
+	waiting := int(int64(barWidth) * int64(result.First) / int64(longest))
+	streaming := int(int64(barWidth) * int64(result.Total-result.First) / int64(longest))
+	return strings.Repeat("░", waiting) + strings.Repeat("█", streaming)
 }
--- a/cmd/cardload/report.go
+++ b/cmd/cardload/report.go
@@ -25,18 +25,19 @@
 
 // series is the results of one load.
 type series struct {
-	Count    int            `json:"count"`
-	Outcomes map[string]int `json:"outcomes"`
-	Reasons  map[string]int `json:"reasons"`
-	FirstP50 float64        `json:"first_p50_ms"`
-	FirstP95 float64        `json:"first_p95_ms"`
-	FirstP99 float64        `json:"first_p99_ms"`
-	TotalP99 float64        `json:"total_p99_ms"`
-	GapP95   float64        `json:"gap_p95_ms"`
-	Late     int            `json:"late"`
-	Cut      int            `json:"cut"`
-	Crossed  int            `json:"crossed"`
-	NoWord   int            `json:"no_outcome"`
+	Count      int            `json:"count"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Reasons    map[string]int `json:"reasons"`
+	FirstP50   float64        `json:"first_p50_ms"`
+	FirstP95   float64        `json:"first_p95_ms"`
+	FirstP99   float64        `json:"first_p99_ms"`
+	TotalP99   float64        `json:"total_p99_ms"`
+	GapP95     float64        `json:"gap_p95_ms"`
+	ByInstance map[string]int `json:"by_instance"`
+	Late       int            `json:"late"`
+	Cut        int            `json:"cut"`
+	Crossed    int            `json:"crossed"`
+	NoWord     int            `json:"no_outcome"`
 
 	first *hdrhistogram.Histogram
 	total *hdrhistogram.Histogram
@@ -67,7 +68,7 @@
 
 func newSeries() *series {
 	return &series{
-		Outcomes: make(map[string]int), Reasons: make(map[string]int), first: newHistogram(), total: newHistogram(), gaps: newHistogram(),
+		Outcomes: make(map[string]int), ByInstance: make(map[string]int), Reasons: make(map[string]int), first: newHistogram(), total: newHistogram(), gaps: newHistogram(),
 	}
 }
 
@@ -85,6 +86,7 @@
 	}
 	s.Count++
 	s.Outcomes[result.Outcome.String()]++
+	s.ByInstance[result.Instance+" "+result.Outcome.String()]++
 	if result.Reason != "" {
 		s.Reasons[shorten(result.Reason)]++
 	}
--- a/ctrl/gossip.go
+++ b/ctrl/gossip.go
@@ -21,7 +21,7 @@
 
 // exchange sends digests to a few members.
 func (l *Loop) exchange(now time.Time) {
-	for _, target := range l.peers.Targets(now) {
+	for _, target := range l.peers.Targets() {
 		client := l.options.Dialer.Dial(target.Instance().PeerAddress)
 		digest := l.compose(now)
 		l.start(func(ctx context.Context) event {
@@ -37,7 +37,7 @@
 }
 
 func (l *Loop) compose(now time.Time) *peerpb.Digest {
-	digest := l.peers.Compose(l.options.Settings.DigestBytes(), now)
+	digest := l.peers.Compose(l.options.Settings.DigestBytes())
 	for i, suspect := range l.options.Ledger.Suspects(now) {
 		if i >= maxSuspectsSent {
 			break
--- a/ctrl/holds.go
+++ b/ctrl/holds.go
@@ -57,9 +57,14 @@
 		return
 	}
 	row := l.peers.Hold(resource)
-	if row.Version() == 0 && !l.rowsRead {
+	if !l.peers.Settled(now) || row.Version() == 0 && !l.rowsRead {
 		return
 	}
+	if effective := l.effective(resource, now); effective != l.acted[resource] {
+		l.acted[resource] = effective
+		l.holdChanged(resource, now)
+		l.dirty = true
+	}
 	step := hold.Decide(row, hold.NewSelf(l.peers.Party(), l.leaving), l.ranked(resource, now), l.peers.At(now))
 	if step.Kind() == hold.Keep {
 		return
@@ -206,7 +211,7 @@
 
 // holdChanged makes this instance's role follow the newest row of a resource.
 func (l *Loop) holdChanged(resource hold.Resource, now time.Time) {
-	row := l.peers.Hold(resource)
+	row := l.effective(resource, now)
 	mine := row.Holder() == l.peers.Party()
 	if strings.HasPrefix(string(resource), claim.Prefix) {
 		l.followShard(row, mine, now)
@@ -273,10 +278,15 @@
 		l.loseCell(held, row)
 	}
 	if f, ok := l.follows[cellOf(row.Resource())]; ok {
-		f.aim(l, row)
+		f.aim(row)
 	}
 }
 
+// effective returns the newest row of a resource without what is known to have ended.
+func (l *Loop) effective(resource hold.Resource, now time.Time) hold.Row {
+	return hold.Effective(l.peers.Hold(resource), l.peers.At(now))
+}
+
 func cellOf(resource hold.Resource) cardamom.CellID {
 	return cardamom.CellID(strings.TrimPrefix(string(resource), cellPrefix))
 }
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -95,13 +95,14 @@
 	shards    map[hold.Resource]*heldShard
 	follows   map[cardamom.CellID]*follow
 	busy      map[hold.Resource]bool
-	rowsRead  bool
-	leaving   bool
-	dirty     bool
-	decided   time.Time
-	looked    time.Time
-	beaten    time.Time
-	fetching  cardamom.Revision
+	// acted is the effective row that this instance's role follows.
+	acted    map[hold.Resource]hold.Row
+	rowsRead bool
+	leaving  bool
+	dirty    bool
+	looked   time.Time
+	beaten   time.Time
+	fetching cardamom.Revision
 }
 
 // New returns a loop that has not started.
@@ -117,6 +118,7 @@
 		shards:  make(map[hold.Resource]*heldShard),
 		follows: make(map[cardamom.CellID]*follow),
 		busy:    make(map[hold.Resource]bool),
+		acted:   make(map[hold.Resource]hold.Row),
 	}
 }
 
@@ -204,7 +206,7 @@
 		view.Follows[id] = f.replicas
 	}
 	for n := range l.options.Settings.ClaimShards() {
-		view.Claims = append(view.Claims, l.peers.Hold(claim.ShardResource(n)))
+		view.Claims = append(view.Claims, l.effective(claim.ShardResource(n), now))
 	}
 	l.options.Views.Store(view)
 }
@@ -215,6 +217,8 @@
 		return "no profile document: the table and all known peers have none or can't be reached"
 	case l.list == nil:
 		return "no list: the platform's list can't be reached"
+	case !l.peers.Settled(time.Now()):
+		return "members: not all listed instances have been heard of yet"
 	case !l.rowsRead && len(l.peers.Active(time.Now())) < 2:
 		return "no holds: the table can't be reached and no peer answers"
 	default:
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -75,7 +75,7 @@
 	for _, replica := range delta.Replicas {
 		reply.Replicas = append(reply.Replicas, &peerpb.Replica{
 			Model: string(replica.Model), Upstream: string(replica.Upstream), Address: replica.Address,
-			State: uint32(replica.State), ReadyInMs: replica.ReadyIn.Milliseconds(), Slots: uint32(replica.Slots),
+			State: uint32(replica.State), ReadyInMs: replica.ReadyIn.Milliseconds(), Slots: uint32(replica.Slots), Sharers: uint32(replica.Sharers),
 			Running: uint32(replica.Running), Waiting: uint32(replica.Waiting), Incarnation: uint64(replica.Incarnation),
 		})
 	}
@@ -128,11 +128,11 @@
 	}
 	for cell, want := range wanted {
 		if _, following := l.follows[cell]; want && !following {
-			l.startFollow(cell)
+			l.startFollow(cell, now)
 		}
 	}
 	for cell, f := range l.follows {
-		if !wanted[cell] {
+		if !wanted[cell] && !l.options.Desk.Busy(cell) {
 			f.cancel()
 			delete(l.follows, cell)
 			l.dirty = true
@@ -155,7 +155,7 @@
 	return false
 }
 
-func (l *Loop) startFollow(cell cardamom.CellID) {
+func (l *Loop) startFollow(cell cardamom.CellID, now time.Time) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	f := &follow{
 		cell: cell, cancel: cancel, notify: make(chan struct{}, 1), target: make(chan hold.Row, 1),
@@ -163,12 +163,12 @@
 	}
 	l.follows[cell] = f
 	l.dirty = true
-	f.aim(l, l.peers.Hold(cellResource(cell)))
+	f.aim(l.effective(cellResource(cell), now))
 	go f.run(ctx, l)
 }
 
 // aim tells the follow's goroutine of the newest holder.
-func (f *follow) aim(_ *Loop, row hold.Row) {
+func (f *follow) aim(row hold.Row) {
 	select {
 	case <-f.target:
 	default:
@@ -330,9 +330,7 @@
 
 func (e followed) apply(l *Loop, now time.Time) {
 	e.follow.merge(e.reply)
-	active := l.peers.Active(now)
-	followers := len(route.Followers(e.follow.cell, active))
-	l.options.Desk.Update(e.follow.cell, e.follow.replicas, followers, now)
+	l.options.Desk.Update(e.follow.cell, e.follow.replicas, now)
 	l.dirty = true
 	e.done <- struct{}{}
 }
@@ -361,7 +359,7 @@
 	return cells.Replica{
 		Seat:    cells.Seat{Model: cardamom.ModelID(wire.GetModel()), Upstream: cardamom.UpstreamID(wire.GetUpstream())},
 		Address: wire.GetAddress(), State: cells.ReplicaState(wire.GetState()),
-		ReadyIn: time.Duration(wire.GetReadyInMs()) * time.Millisecond, Slots: int(wire.GetSlots()),
+		ReadyIn: time.Duration(wire.GetReadyInMs()) * time.Millisecond, Slots: int(wire.GetSlots()), Sharers: int(wire.GetSharers()),
 		Running: int(wire.GetRunning()), Waiting: int(wire.GetWaiting()), Incarnation: cardamom.Incarnation(wire.GetIncarnation()),
 	}
 }
--- a/entry/blame.go
+++ b/entry/blame.go
@@ -22,7 +22,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameWait)
+	limited, cancel := context.WithTimeout(ctx, blameWait)
 	defer cancel()
 	death := fmt.Sprintf("%s/%d", replica.Upstream, replica.Incarnation)
 	for {
@@ -36,6 +36,9 @@
 		if !sleep(limited, blamePause) {
 			break
 		}
+		if ctx.Err() != nil {
+			return
+		}
 	}
 	s.options.Logger.Warn("upstream_died", "upstream", replica.Upstream, "model", j.model.ID(), "fingerprint", fmt.Sprintf("%016x", uint64(j.fingerprint)))
 	s.options.Ledger.Blame(j.fingerprint, death, time.Now())
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,6 +9,9 @@
 	"cardamomcourse.example/cardamom/claim"
 )
 
+// settleGrace is how long past its deadline a caller may wait for the settlement.
+const settleGrace = 20 * time.Millisecond
+
 // settleTimeout is how long the end of a request is told to its key's owner.
 const settleTimeout = 3 * time.Second
 
@@ -68,7 +71,8 @@
 	_, _ = w.Write(result.Body)
 }
 
-// settle tells the key's owner how the request ended, before the caller is told.
+// settle tells the key's owner how the request ended. The caller is told after
+// that, or at its deadline if the owner takes longer.
 func (s *Server) settle(ctx context.Context, req *request, grant granted, refusal *cardamom.Refusal, whole *answer) {
 	if req.key == "" {
 		return
@@ -80,9 +84,19 @@
 	if whole != nil {
 		settled.Result = claim.Result{Status: whole.status, ContentType: whole.header.Get("Content-Type"), Body: whole.body}
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
-	if !s.options.Claims.Settle(limited, settled) {
-		s.options.Logger.Warn("claim_not_settled", "key", req.key, "outcome", settled.Outcome)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+		defer cancel()
+		if !s.options.Claims.Settle(limited, settled) {
+			s.options.Logger.Warn("claim_not_settled", "key", req.key, "outcome", settled.Outcome)
+		}
+	}()
+	timer := time.NewTimer(max(time.Until(req.deadline), settleGrace))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
 }
--- a/entry/try.go
+++ b/entry/try.go
@@ -92,7 +92,7 @@
 	if unique {
 		client = s.fresh
 	}
-	result.response, result.err = client.Do(req)
+	result.response, result.err = client.Do(req) //nolint:bodyclose // The relay closes it.
 	return result
 }
 
--- a/fakes/complete.go
+++ b/fakes/complete.go
@@ -110,7 +110,7 @@
 		if !sleep(ctx, time.Duration(wire.MaxTokens-1)*r.options.Interval) {
 			panic(http.ErrAbortHandler)
 		}
-		writeJSON(w, http.StatusOK, wholeAnswer(wire))
+		writeJSON(w, wholeAnswer(wire))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
--- /dev/null
+++ b/fakes/fleet/usage.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// clockTick is the kernel's unit of processor time.
+	clockTick = 10 * time.Millisecond
+	// userField and systemField are the positions after the program's name.
+	userField   = 11
+	systemField = 12
+	// residentField is the position of resident pages.
+	residentField = 21
+)
+
+// CPU returns the processor time a process has used.
+func (f *Fleet) CPU(id string) (time.Duration, error) {
+	fields, err := f.stat(id)
+	if err != nil {
+		return 0, err
+	}
+	user, err := strconv.ParseInt(fields[userField], 10, 64)
+	if err != nil {
+		return 0, eris.Wrap(err, "parse processor time")
+	}
+	system, err := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * clockTick, eris.Wrap(err, "parse processor time")
+}
+
+// Resident returns the memory a process has in use, in bytes.
+func (f *Fleet) Resident(id string) (int64, error) {
+	fields, err := f.stat(id)
+	if err != nil {
+		return 0, err
+	}
+	pages, err := strconv.ParseInt(fields[residentField], 10, 64)
+	return pages * int64(os.Getpagesize()), eris.Wrap(err, "parse resident pages")
+}
+
+func (f *Fleet) stat(id string) ([]string, error) {
+	p, ok := f.Process(id)
+	if !ok {
+		return nil, eris.Errorf("no process %s", id)
+	}
+	body, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return nil, eris.Wrap(err, "read process state")
+	}
+	_, rest, _ := strings.Cut(string(body), ") ")
+	return strings.Fields(rest), nil
+}
--- a/fakes/list.go
+++ b/fakes/list.go
@@ -114,7 +114,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		writeJSON(w, http.StatusOK, l.At(time.Now()))
+		writeJSON(w, l.At(time.Now()))
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) { l.put(w, r, true) })
 	mux.HandleFunc("PUT /upstreams", func(w http.ResponseWriter, r *http.Request) { l.put(w, r, false) })
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -68,5 +68,5 @@
 	if !sleep(r.Context(), p.options.Work) {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, map[string]string{"service": p.options.Service, "path": r.URL.Path, "echo": string(body)})
+	writeJSON(w, map[string]string{"service": p.options.Service, "path": r.URL.Path, "echo": string(body)})
 }
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -138,7 +138,7 @@
 		wire.Loaded = append(wire.Loaded, loaded)
 	}
 	r.mu.Unlock()
-	writeJSON(w, http.StatusOK, wire)
+	writeJSON(w, wire)
 }
 
 // load returns the load as it was a report lag ago, and notes the present one.
--- a/fakes/table.go
+++ b/fakes/table.go
@@ -78,7 +78,7 @@
 		t.SetFaults(faults)
 	})
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, t.Counts())
+		writeJSON(w, t.Counts())
 	})
 	return mux
 }
@@ -107,7 +107,7 @@
 	t.counts.Reads++
 	row := t.rows[r.URL.Query().Get("key")]
 	t.mu.Unlock()
-	writeJSON(w, http.StatusOK, row)
+	writeJSON(w, row)
 }
 
 func (t *Table) list(w http.ResponseWriter, r *http.Request) {
@@ -122,7 +122,7 @@
 	}
 	t.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	writeJSON(w, http.StatusOK, rows)
+	writeJSON(w, rows)
 }
 
 func (t *Table) commit(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +138,7 @@
 	case !ok:
 		w.WriteHeader(http.StatusConflict)
 	default:
-		writeJSON(w, http.StatusOK, table.CommitWire{Version: version})
+		writeJSON(w, table.CommitWire{Version: version})
 	}
 }
 
--- a/fakes/truth.go
+++ b/fakes/truth.go
@@ -168,7 +168,7 @@
 	})
 	mux.HandleFunc("POST /attach", t.attach)
 	mux.HandleFunc("GET /truth", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, t.Snapshot(time.Now()))
+		writeJSON(w, t.Snapshot(time.Now()))
 	})
 	return mux
 }
--- a/fakes/weights.go
+++ b/fakes/weights.go
@@ -113,6 +113,6 @@
 		}
 		s.SetSlow(factor)
 	})
-	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) })
 	return mux
 }
--- a/hold/decide.go
+++ b/hold/decide.go
@@ -42,6 +42,9 @@
 	Alive(party Party) bool
 	// Ended tells whether the incarnation is known to have ended.
 	Ended(party Party) bool
+	// Steady tells whether the instance has been heard of without a break for
+	// long enough to be given more.
+	Steady(id cardamom.InstanceID) bool
 	// Current returns the incarnation known of an instance.
 	Current(id cardamom.InstanceID) Party
 }
@@ -55,6 +58,20 @@
 // NewSelf returns the deciding instance.
 func NewSelf(party Party, leaving bool) Self { return Self{party: party, leaving: leaving} }
 
+// Effective returns the row as it stands once what is known to have ended is
+// left out: the witness of an ended holder acts for it, and an ended witness is
+// none. Nobody else may take such a hold over, so that this needs no write.
+func Effective(row Row, members Members) Row {
+	if !row.holder.None() && !row.witness.None() && members.Ended(row.holder) && !members.Ended(row.witness) {
+		row.holder, row.witness = row.witness, Party{}
+		return row
+	}
+	if !row.witness.None() && members.Ended(row.witness) {
+		row.witness = Party{}
+	}
+	return row
+}
+
 // Decide returns this instance's step for a hold. Ranked lists the instances
 // that may hold or witness it, live and not leaving, best first.
 func Decide(row Row, self Self, ranked []cardamom.InstanceID, members Members) Step {
@@ -75,7 +92,13 @@
 
 func decideHolder(row Row, self Self, ranked []cardamom.InstanceID, members Members) Step {
 	if self.leaving {
-		return Step{kind: Give, row: Row{resource: row.resource, holder: row.witness, lossy: row.Lossy()}}
+		return give(row)
+	}
+	if home, ok := homeOf(self, ranked, members); ok {
+		if row.witness == home {
+			return give(row)
+		}
+		return name(row, home)
 	}
 	for _, id := range ranked {
 		if id == row.witness.id && members.Alive(row.witness) {
@@ -108,6 +131,18 @@
 	return row.witness.None() || members.Ended(row.witness)
 }
 
+// homeOf returns the best instance for the resource if it is another, steady one.
+func homeOf(self Self, ranked []cardamom.InstanceID, members Members) (Party, bool) {
+	if len(ranked) == 0 || ranked[0] == self.party.id || !members.Steady(ranked[0]) {
+		return Party{}, false
+	}
+	return members.Current(ranked[0]), true
+}
+
+func give(row Row) Step {
+	return Step{kind: Give, row: Row{resource: row.resource, holder: row.witness, lossy: row.Lossy()}}
+}
+
 func take(row Row, self Self, lossy bool) Step {
 	next := Row{resource: row.resource, holder: self.party, lossy: row.Lossy(), fresh: lossy}
 	return Step{kind: Take, row: next}
--- a/keep/history.go
+++ b/keep/history.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// weight returns the summed weight of the gaps seen.
+func (h *History) weight() float64 {
+	total := 0.0
+	for _, count := range h.counts {
+		total += count
+	}
+	return total
+}
+
 func bucketOf(gap time.Duration) int {
 	doublings := math.Log2(float64(gap) / float64(bucketBase))
 	return min(max(int(math.Ceil(doublings*bucketsPerDouble)), 0), buckets-1)
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -53,6 +53,9 @@
 // the price. With no gaps seen it is the price, which costs at most twice the
 // least possible.
 func gaps(history *History, price time.Duration) time.Duration {
+	if history.weight() < enoughGaps {
+		return price
+	}
 	best := price
 	least := cost(history, price, price)
 	for i := range history.counts {
@@ -70,10 +73,13 @@
 	return best
 }
 
-// cost returns the summed cost in seconds of keeping for the time, with the
-// gaps seen and one prior gap as long as the price.
+// enoughGaps is the weight of gaps from which on they are trusted.
+const enoughGaps = 3
+
+// cost returns the summed cost in seconds of keeping for the time over the
+// gaps seen.
 func cost(history *History, keepFor, price time.Duration) float64 {
-	total := gapCost(price+1, keepFor, price)
+	total := 0.0
 	for i, count := range history.counts {
 		if count > 0 {
 			total += count * gapCost(bound(i), keepFor, price)
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -16,7 +16,7 @@
 
 // Compose returns a digest of at most budget bytes: this instance first, then
 // the freshest members and a rotating share of the rest, then the holds.
-func (s *State) Compose(budget int, now time.Time) *peerpb.Digest {
+func (s *State) Compose(budget int) *peerpb.Digest {
 	digest := &peerpb.Digest{From: string(s.self.instance.ID), Revision: uint64(s.self.revision)}
 	digest.Members = append(digest.Members, memberWire(s.self))
 	room := budget/2 - proto.Size(digest)
@@ -97,7 +97,7 @@
 
 // Targets returns whom to send the next digest to: one random member and one
 // of those this instance must notice the silence of.
-func (s *State) Targets(now time.Time) []Member {
+func (s *State) Targets() []Member {
 	var others, watched []Member
 	for _, member := range s.Members() {
 		if member.instance.ID == s.self.instance.ID || member.instance.PeerAddress == "" {
--- a/peers/state.go
+++ b/peers/state.go
@@ -22,6 +22,9 @@
 // listLag is the greatest time by which the platform's list is taken to lag.
 const listLag = 30 * time.Second
 
+// steadyFactor is for how many suspect times a member must be heard of to be steady.
+const steadyFactor = 2
+
 // Member is what is known of one instance.
 type Member struct {
 	instance    cardamom.Instance
@@ -29,6 +32,7 @@
 	beat        uint64
 	revision    cardamom.Revision
 	heard       time.Time
+	since       time.Time
 }
 
 // NewMember returns a member as a digest describes it.
@@ -142,6 +146,10 @@
 		return
 	}
 	m.heard = now
+	m.since = now
+	if ok && m.incarnation == known.incarnation && s.heardLately(known, now) {
+		m.since = known.since
+	}
 	s.members[m.instance.ID] = &m
 	if s.unlisted[m.instance.ID] < m.incarnation {
 		delete(s.unlisted, m.instance.ID)
@@ -157,6 +165,28 @@
 	return true
 }
 
+// Settled tells whether this instance has had time to hear of the others: of
+// every listed one, or for as long as it takes to suspect one.
+func (s *State) Settled(now time.Time) bool {
+	if s.listedAt.IsZero() {
+		return false
+	}
+	if now.Sub(s.listedAt) > s.suspect {
+		return true
+	}
+	others := 0
+	for id := range s.listed {
+		if id == s.self.instance.ID {
+			continue
+		}
+		others++
+		if member, ok := s.members[id]; !ok || !s.heardLately(member, now) {
+			return false
+		}
+	}
+	return others > 0
+}
+
 // Hold returns the newest known row of a resource.
 func (s *State) Hold(resource hold.Resource) hold.Row {
 	row, ok := s.holds[resource]
@@ -233,6 +263,12 @@
 	return !ok && m.state.absent(party.ID(), m.now)
 }
 
+// Steady implements hold.Members.
+func (m *moment) Steady(id cardamom.InstanceID) bool {
+	member, ok := m.state.members[id]
+	return ok && m.state.heardLately(member, m.now) && m.now.Sub(member.since) > steadyFactor*m.state.suspect
+}
+
 // Current implements hold.Members.
 func (m *moment) Current(id cardamom.InstanceID) hold.Party {
 	member, ok := m.state.members[id]
--- a/revs/revs.go
+++ b/revs/revs.go
@@ -27,6 +27,8 @@
 var (
 	// ErrConflict means that another edit was published over the same base.
 	ErrConflict = eris.New("another revision was published first")
+	// ErrUnknown means that the edit may or may not have been published.
+	ErrUnknown = eris.New("outcome of the edit is not known; publish it again under the same identity")
 	// ErrNone means that the revision does not exist.
 	ErrNone = eris.New("no such revision")
 )
@@ -111,6 +113,7 @@
 // Publish makes the edit's document the next revision and returns it.
 func Publish(ctx context.Context, store table.Store, edit Edit, now time.Time) (Revision, error) {
 	var err error
+	uncertain := false
 	for try := range publishTries {
 		if try > 0 && !pause(ctx) {
 			break
@@ -120,8 +123,12 @@
 		if err == nil || errors.Is(err, ErrConflict) {
 			return revision, err
 		}
+		uncertain = uncertain || errors.Is(err, table.ErrUnknown)
 	}
-	return Revision{}, eris.Wrapf(err, "outcome of edit %s is not known: publish it again under the same identity", edit.ID)
+	if !uncertain {
+		return Revision{}, err
+	}
+	return Revision{}, eris.Wrapf(ErrUnknown, "edit %s: %v", edit.ID, err)
 }
 
 // publishOnce first looks whether an earlier try has taken effect.
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs all tests: those of each package, then those on real processes.
+set -euo pipefail
+cd "$(dirname "$0")"
+go vet ./... ./cmd/cardctl/... ./cmd/cardd/... ./cmd/cardfake/... ./cmd/cardload/...
+go test -count=1 -timeout 20m ./... ./cmd/cardctl/... ./cmd/cardd/... ./cmd/cardfake/... ./cmd/cardload/...
