--- a/admit/desk.go
+++ b/admit/desk.go
@@ -220,13 +220,28 @@
 	}
 }
 
-// dispatchHead gives the first waiting request a place if there is one.
-func (d *Desk) dispatchHead(q *queue) bool {
+// next returns the first waiting request that can have a place now. A suspected
+// one that must wait for another does not hold up those behind it.
+func (d *Desk) next(q *queue) (*waiter, cells.Replica, bool) {
 	w := q.head()
 	if w == nil {
-		return false
+		return nil, cells.Replica{}, false
 	}
 	replica, ok := d.pick(q, w.ticket)
+	if ok || !w.ticket.Suspect {
+		return w, replica, ok
+	}
+	w = q.firstClean()
+	if w == nil {
+		return nil, cells.Replica{}, false
+	}
+	replica, ok = d.pick(q, w.ticket)
+	return w, replica, ok
+}
+
+// dispatchHead gives the first waiting request a place if there is one.
+func (d *Desk) dispatchHead(q *queue) bool {
+	w, replica, ok := d.next(q)
 	if !ok {
 		return false
 	}
@@ -294,7 +309,7 @@
 			if q.head() == nil || !q.on(upstream) {
 				continue
 			}
-			if _, ok := d.pick(q, q.head().ticket); !ok {
+			if _, _, ok := d.next(q); !ok {
 				continue
 			}
 			if first == nil || q.head().key.Before(first.head().key) {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -83,6 +83,17 @@
 	return q.waiting[0]
 }
 
+// firstClean returns the first waiting request that is not suspected.
+func (q *queue) firstClean() *waiter {
+	var first *waiter
+	for _, w := range q.waiting {
+		if !w.ticket.Suspect && (first == nil || w.key.Before(first.key)) {
+			first = w
+		}
+	}
+	return first
+}
+
 // ahead returns how many waiting requests are served before one with the key.
 func (q *queue) ahead(key time.Time) int {
 	count := 0
--- /dev/null
+++ b/cells/world_test.go
@@ -0,0 +1,237 @@
+package cells_test
+
+import (
+	"fmt"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/cells"
+	"cardamomcourse.example/cardamom/engine"
+	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/policy"
+)
+
+const worldDocument = `{
+	"profiles": {"p": {"replicas": 2, "keep": "fixed", "keep_ms": 1000}, "one": {"extends": "p", "replicas": 1}},
+	"services": {"s": {"kind": "models", "places": ["x"], "fencing": %t, "runner_memory_mb": 100}},
+	"models": {
+		"a": {"service": "s", "profile": "p", "memory_mb": 40, "checkpoint_mb": 40},
+		"b": {"service": "s", "profile": "one", "memory_mb": 60, "checkpoint_mb": 60},
+		"c": {"service": "s", "profile": "one", "memory_mb": 50, "checkpoint_mb": 50},
+		"a1": {"service": "s", "profile": "p", "base": "a", "memory_mb": 10, "checkpoint_mb": 5}
+	}
+}`
+
+const (
+	worldCell     = cardamom.CellID("s/x/0")
+	worldResource = hold.Resource("cell/s/x/0")
+	worldMemory   = 100
+)
+
+// simEngine is a naive engine that obeys and counts.
+type simEngine struct {
+	listed  cardamom.Upstream
+	fencing bool
+	boot    cardamom.Incarnation
+	fence   cardamom.Fence
+	loaded  map[cardamom.ModelID]engine.Loaded
+	seen    map[string]bool
+	orders  []string
+	gone    bool
+}
+
+func (e *simEngine) take(order engine.Order) error {
+	if e.gone {
+		return engine.ErrUnknown
+	}
+	if e.fencing && order.Fence < e.fence {
+		return engine.ErrStaleFence
+	}
+	e.fence = max(e.fence, order.Fence)
+	if e.seen[order.ID] {
+		return nil
+	}
+	switch order.Kind {
+	case engine.OrderLoad:
+		if _, held := e.loaded[order.Model]; held {
+			return engine.ErrRefused
+		}
+		if base, ok := e.loaded[order.Base]; order.Base != "" && (!ok || base.State != engine.Ready) {
+			return engine.ErrRefused
+		}
+		e.loaded[order.Model] = engine.Loaded{Model: order.Model, State: engine.Loading, OrderID: order.ID, Memory: order.Memory}
+	case engine.OrderUnload:
+		delete(e.loaded, order.Model)
+	}
+	e.seen[order.ID] = true
+	e.orders = append(e.orders, order.ID)
+	return nil
+}
+
+func (e *simEngine) report() *engine.Report {
+	report := &engine.Report{
+		Incarnation: e.boot, Fence: e.fence, Fencing: e.fencing, Memory: worldMemory, Slots: 2,
+		Orders: append([]string(nil), e.orders...), Cached: map[cardamom.ModelID]cardamom.Tier{},
+	}
+	for _, loaded := range e.loaded {
+		report.Loaded = append(report.Loaded, loaded)
+	}
+	return report
+}
+
+// message is an order under way.
+type message struct {
+	from    *cells.Cell
+	command cells.Command
+}
+
+// world is a cell's surroundings with everything that can go wrong.
+type world struct {
+	document *policy.Document
+	fencing  bool
+	now      time.Time
+	version  uint64
+	engines  []*simEngine
+	witness  *hold.Witness
+	cell     *cells.Cell
+	paused   []*cells.Cell
+	network  []message
+	uses     []cells.Use
+}
+
+func newWorld(fencing bool, engines int) (*world, error) {
+	document, err := policy.Parse("world", fmt.Appendf(nil, worldDocument, fencing))
+	if err != nil {
+		return nil, err
+	}
+	w := &world{document: document, fencing: fencing, now: time.Unix(1000, 0), version: 1, witness: hold.NewWitness()}
+	for n := range engines {
+		w.engines = append(w.engines, &simEngine{
+			listed:  cardamom.Upstream{ID: cardamom.UpstreamID(fmt.Sprintf("u%d", n)), Service: "s", Place: "x", Address: "a", State: cardamom.Live},
+			fencing: fencing, boot: 1, loaded: map[cardamom.ModelID]engine.Loaded{}, seen: map[string]bool{},
+		})
+	}
+	w.cell = w.newCell()
+	w.record(hold.Record{Resource: worldResource, Fence: cardamom.Fence(w.version), Reset: true})
+	return w, nil
+}
+
+func (w *world) newCell() *cells.Cell {
+	cell := cells.New(worldCell, fmt.Sprintf("holder-%d", w.version), w.document)
+	cell.Hold(cardamom.Fence(w.version), w.fencing, false)
+	cell.List(w.listed(), w.now)
+	return cell
+}
+
+func (w *world) listed() []cardamom.Upstream {
+	var listed []cardamom.Upstream
+	for _, e := range w.engines {
+		if !e.gone {
+			listed = append(listed, e.listed)
+		}
+	}
+	return listed
+}
+
+func (w *world) record(record hold.Record) bool { return w.witness.Apply(record) }
+
+// takeOver makes a successor of the holder from what the witness knows. The
+// old holder is only paused and may go on later.
+func (w *world) takeOver() {
+	w.paused = append(w.paused, w.cell)
+	entries := w.witness.Entries(worldResource)
+	w.version++
+	w.cell = w.newCell()
+	for _, entry := range entries {
+		w.cell.Adopt(decodeEntry(entry))
+	}
+	w.record(hold.Record{Resource: worldResource, Fence: cardamom.Fence(w.version), Reset: true, Entries: encodeAll(w.cell.Placements())})
+}
+
+// decide lets a holder decide; its loads are recorded before they leave.
+func (w *world) decide(cell *cells.Cell) {
+	cell.Used(cells.Watch{Instance: "i", Seq: cell.Seq(), Uses: w.uses}, w.now)
+	for _, command := range cell.Decide(w.now) {
+		entry := encodeEntry(cells.Placement{Upstream: command.Upstream, Order: command.Order})
+		if command.Record && !w.record(hold.Record{Resource: worldResource, Fence: cell.Fence(), Entries: []hold.Entry{entry}}) {
+			cell.Sent(command.Upstream, command.Order.ID, cells.ErrNotRecorded, w.now)
+			continue
+		}
+		w.network = append(w.network, message{from: cell, command: command})
+	}
+	for _, id := range cell.Dropped() {
+		w.record(hold.Record{Resource: worldResource, Fence: cell.Fence(), Entries: []hold.Entry{{ID: id, Dropped: true}}})
+	}
+}
+
+// deliver brings one message to its engine. A kept copy arrives again later; a
+// lost reply leaves the sender in doubt.
+func (w *world) deliver(n int, keepCopy, loseReply bool) {
+	m := w.network[n]
+	if !keepCopy {
+		w.network = append(w.network[:n], w.network[n+1:]...)
+	}
+	result := w.engineOf(m.command.Upstream).take(m.command.Order)
+	if loseReply {
+		result = engine.ErrUnknown
+	}
+	m.from.Sent(m.command.Upstream, m.command.Order.ID, result, w.now)
+}
+
+// loseUnsent drops a message before it reaches its engine; the sender is in doubt.
+func (w *world) loseUnsent(n int) {
+	m := w.network[n]
+	w.network = append(w.network[:n], w.network[n+1:]...)
+	m.from.Sent(m.command.Upstream, m.command.Order.ID, engine.ErrUnknown, w.now)
+}
+
+func (w *world) engineOf(id cardamom.UpstreamID) *simEngine {
+	for _, e := range w.engines {
+		if e.listed.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) report(cell *cells.Cell, e *simEngine) {
+	if !e.gone {
+		cell.Reported(e.listed.ID, e.report(), w.now)
+	}
+}
+
+func (w *world) finishLoads(e *simEngine) {
+	for model, loaded := range e.loaded {
+		loaded.State = engine.Ready
+		e.loaded[model] = loaded
+	}
+}
+
+// remove ends an engine for good. What is under way to it is lost with it.
+func (w *world) remove(e *simEngine) {
+	e.gone = true
+	e.loaded = map[cardamom.ModelID]engine.Loaded{}
+	w.cell.List(w.listed(), w.now)
+}
+
+// fault returns what is wrong in truth, empty if nothing is.
+func (w *world) fault() string {
+	replicas := make(map[cardamom.ModelID]int)
+	for _, e := range w.engines {
+		memory := 0
+		for model, loaded := range e.loaded {
+			replicas[model]++
+			memory += loaded.Memory
+		}
+		if memory > worldMemory {
+			return fmt.Sprintf("%s holds %d MB of %d", e.listed.ID, memory, worldMemory)
+		}
+	}
+	for id, count := range replicas {
+		model, _ := w.document.Model(id)
+		if count > model.Quota(worldCell) {
+			return fmt.Sprintf("%d replicas of %s, %d decided", count, id, model.Quota(worldCell))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/claim/shard_test.go
@@ -0,0 +1,117 @@
+package claim_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/claim"
+	"cardamomcourse.example/cardamom/hold"
+)
+
+const keepFor = time.Minute
+
+var testNow = time.Unix(1000, 0)
+
+// naiveEvent is one event in the naive version's log.
+type naiveEvent struct {
+	key, grant  string
+	fingerprint uint64
+	outcome     cardamom.Outcome
+}
+
+// naive answers by reading the whole log of a key.
+type naive struct {
+	log []naiveEvent
+}
+
+func (n *naive) ask(key, grant string, fingerprint uint64) claim.Verdict {
+	verdict, holder, known := claim.Granted, "", uint64(0)
+	for _, e := range n.log {
+		if e.key != key {
+			continue
+		}
+		switch {
+		case e.outcome == cardamom.OutcomeUnknown:
+			verdict, holder, known = claim.Running, e.grant, e.fingerprint
+		case e.grant != holder || verdict != claim.Running:
+		case e.outcome == cardamom.NotRun:
+			verdict, holder = claim.Granted, ""
+		case e.outcome == cardamom.Served:
+			verdict = claim.Ran
+		default:
+			verdict = claim.Unsure
+		}
+	}
+	switch {
+	case holder == "":
+		n.log = append(n.log, naiveEvent{key: key, grant: grant, fingerprint: fingerprint})
+		return claim.Granted
+	case known != fingerprint:
+		return claim.Reused
+	case verdict == claim.Running && holder == grant:
+		return claim.Granted
+	default:
+		return verdict
+	}
+}
+
+func (n *naive) settle(key, grant string, outcome cardamom.Outcome) {
+	n.log = append(n.log, naiveEvent{key: key, grant: grant, outcome: outcome})
+}
+
+var _ = Describe("a shard of claims", func() {
+	now := testNow
+
+	It("answers as the naive version does, also after its witness took over", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			shard, simple, witness := claim.NewShard(keepFor), &naive{}, hold.NewWitness()
+			witness.Apply(hold.Record{Resource: "claims/0", Fence: 1, Reset: true})
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				key := fmt.Sprintf("k%d", rapid.IntRange(0, 3).Draw(t, "key"))
+				grant := fmt.Sprintf("g%d", rapid.IntRange(0, 4).Draw(t, "grant"))
+				fingerprint := uint64(rapid.IntRange(0, 8).Draw(t, "fingerprint") / 8)
+				switch rapid.IntRange(0, 4).Draw(t, "action") {
+				case 0, 1:
+					got := shard.Ask(claim.Ask{Key: key, Grant: grant, Fingerprint: fingerprint}, now).Verdict
+					if want := simple.ask(key, grant, fingerprint); got != want {
+						t.Fatalf("key %s grant %s: verdict %d, naive %d", key, grant, got, want)
+					}
+				case 2, 3:
+					outcome := rapid.SampledFrom([]cardamom.Outcome{cardamom.NotRun, cardamom.Served, cardamom.MayHaveRun}).Draw(t, "outcome")
+					shard.Settle(claim.Settle{Key: key, Grant: grant, Outcome: outcome}, now)
+					simple.settle(key, grant, outcome)
+				case 4:
+					successor := claim.NewShard(keepFor)
+					if err := successor.Adopt(witness.Entries("claims/0"), now); err != nil {
+						t.Fatal(err)
+					}
+					shard = successor
+				}
+				witness.Apply(hold.Record{Resource: "claims/0", Fence: 1, Entries: shard.Changes()})
+			}
+		})
+	})
+
+	It("keeps a small result for the resend", func() {
+		shard := claim.NewShard(keepFor)
+		shard.Ask(claim.Ask{Key: "k", Grant: "g"}, now)
+		shard.Settle(claim.Settle{Key: "k", Grant: "g", Outcome: cardamom.Served, Result: claim.Result{Status: 200, Body: []byte("label")}}, now)
+		answer := shard.Ask(claim.Ask{Key: "k", Grant: "other"}, now)
+		Expect(answer.Verdict).To(Equal(claim.Ran))
+		Expect(string(answer.Result.Body)).To(Equal("label"))
+	})
+
+	It("does not take a key for new after its memory was lost, unless the caller proves it", func() {
+		shard := claim.NewShard(keepFor)
+		shard.Lose(17, now)
+		Expect(shard.Ask(claim.Ask{Key: "a", Grant: "g"}, now).Verdict).To(Equal(claim.Lost))
+		Expect(shard.Ask(claim.Ask{Key: "a", Grant: "g", Issue: 16}, now).Verdict).To(Equal(claim.Lost))
+		Expect(shard.Ask(claim.Ask{Key: "a", Grant: "g", Issue: 17}, now).Verdict).To(Equal(claim.Granted))
+		Expect(shard.Ask(claim.Ask{Key: "b", Grant: "g"}, now.Add(2*keepFor)).Verdict).To(Equal(claim.Granted))
+	})
+})
--- a/entry/blame.go
+++ b/entry/blame.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"cardamomcourse.example/cardamom/cells"
@@ -24,7 +25,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, blameWait)
 	defer cancel()
-	death := fmt.Sprintf("%s/%d", replica.Upstream, replica.Incarnation)
+	death := j.death(replica)
 	for {
 		report, err := s.options.Reporter.Report(limited, replica.Address)
 		if err == nil && report.Incarnation == replica.Incarnation {
@@ -44,6 +45,18 @@
 	s.options.Ledger.Blame(j.fingerprint, death, time.Now())
 }
 
+// death names the end of the upstream run that the job was on. The view may
+// still show an earlier run; a job that has already seen that one die was on
+// its successor.
+func (j *job) death(replica cells.Replica) string {
+	death := fmt.Sprintf("%s/%d", replica.Upstream, replica.Incarnation)
+	for slices.Contains(j.deaths, death) {
+		death += "+"
+	}
+	j.deaths = append(j.deaths, death)
+	return death
+}
+
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -71,6 +71,7 @@
 	stream bool
 	avoid  cardamom.UpstreamID
 	begun  bool
+	deaths []string
 }
 
 // repeatable tells whether the job may be tried again after it may have run.
--- /dev/null
+++ b/entry/refusal_test.go
@@ -0,0 +1,151 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hashicorp/go-hclog"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/admit"
+	"cardamomcourse.example/cardamom/cells"
+	"cardamomcourse.example/cardamom/claim"
+	"cardamomcourse.example/cardamom/engine"
+	"cardamomcourse.example/cardamom/entry"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/policy"
+	"cardamomcourse.example/cardamom/route"
+	"cardamomcourse.example/cardamom/trace"
+)
+
+const (
+	testMaxBody  = 2000
+	testDocument = `{
+		"profiles": {"p": {"replicas": 1}},
+		"services": {"s": {"kind": "models", "places": ["x"], "runner_memory_mb": 100}},
+		"models": {"m": {"service": "s", "profile": "p", "memory_mb": 10, "checkpoint_mb": 10}}
+	}`
+)
+
+// openClaims grants everything once.
+type openClaims struct {
+	shard *claim.Shard
+}
+
+func (c *openClaims) Ask(_ context.Context, ask claim.Ask) claim.Answer {
+	return c.shard.Ask(ask, testNow)
+}
+
+func (c *openClaims) Settle(_ context.Context, settle claim.Settle) bool {
+	c.shard.Settle(settle, testNow)
+	return true
+}
+
+// deadReporter finds every upstream dead.
+type deadReporter struct{}
+
+func (deadReporter) Report(context.Context, string) (*engine.Report, error) {
+	return &engine.Report{Incarnation: 99}, nil
+}
+
+// harness is a server in front of one replica.
+type harness struct {
+	views  *route.Holder
+	desk   *admit.Desk
+	ledger *poison.Ledger
+	server *httptest.Server
+}
+
+func newHarness() *harness {
+	document, err := policy.Parse("test", []byte(testDocument))
+	Expect(err).NotTo(HaveOccurred())
+	tracer, err := trace.New(trace.Options{})
+	Expect(err).NotTo(HaveOccurred())
+	self := cardamom.Instance{ID: "i", Place: "x"}
+	h := &harness{views: route.NewHolder(self), desk: admit.New(func(cardamom.CellID) {}), ledger: poison.New()}
+	h.views.Store(&route.View{
+		Self: self, Published: policy.NewPublished(1, document, nil, "", ""),
+		Follows: map[cardamom.CellID]map[cardamom.ModelID][]cells.Replica{"s/x/0": {}},
+	})
+	server := entry.New(entry.Options{
+		Self: self, MaxBody: testMaxBody, Views: h.views, Desk: h.desk, Claims: &openClaims{shard: claim.NewShard(keepClaims)},
+		Reporter: deadReporter{}, Ledger: h.ledger, Tracer: tracer, Metrics: entry.NewMetrics(nil), Logger: hclog.NewNullLogger(),
+	})
+	h.server = httptest.NewServer(server.Handler())
+	DeferCleanup(h.server.Close)
+	return h
+}
+
+// serve makes the upstream the one replica of the model.
+func (h *harness) serve(upstream http.Handler) {
+	server := httptest.NewServer(upstream)
+	DeferCleanup(server.Close)
+	h.desk.Update("s/x/0", map[cardamom.ModelID][]cells.Replica{"m": {{
+		Seat: cells.Seat{Model: "m", Upstream: "u"}, Address: server.Listener.Addr().String(),
+		State: cells.ReplicaReady, Slots: 4, Incarnation: 1,
+	}}}, testNow)
+}
+
+func (h *harness) do(method, path, body string, header ...string) *http.Response {
+	request, err := http.NewRequest(method, h.server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(response.Body.Close)
+	return response
+}
+
+type refusalWire struct {
+	Error struct {
+		Type    string `json:"type"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+var _ = Describe("a refused request", func() {
+	file, err := os.Open("testdata/refusals.txt")
+	if err != nil {
+		panic(err)
+	}
+	defer file.Close()
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		It(line, func() {
+			fields := strings.Split(line, "|")
+			for i := range fields {
+				fields[i] = strings.TrimSpace(fields[i])
+			}
+			method, path, _ := strings.Cut(fields[0], " ")
+			body := fields[2]
+			if body == "OVERSIZE" {
+				body = strings.Repeat("x", testMaxBody+1)
+			}
+			var header []string
+			if name, value, ok := strings.Cut(fields[1], ": "); ok {
+				header = []string{name, value}
+			}
+			response := newHarness().do(method, path, body, header...)
+			var wire refusalWire
+			Expect(json.NewDecoder(response.Body).Decode(&wire)).To(Succeed())
+			got := fmt.Sprintf("%d %s %s", response.StatusCode, wire.Error.Type, wire.Error.Outcome)
+			Expect(got).To(Equal(fields[3]))
+			Expect(response.Header.Get(cardamom.OutcomeHeader)).To(Equal(wire.Error.Outcome))
+		})
+	}
+})
--- /dev/null
+++ b/keep/suite_test.go
@@ -0,0 +1,13 @@
+package keep_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestKeep(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "keep")
+}
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -15,32 +15,37 @@
 const fieldOverhead = 4
 
 // Compose returns a digest of at most budget bytes: this instance first, then
-// the freshest members and a rotating share of the rest, then the holds.
+// the members whose newest word was passed on least, then the holds.
 func (s *State) Compose(budget int) *peerpb.Digest {
 	digest := &peerpb.Digest{From: string(s.self.instance.ID), Revision: uint64(s.self.revision)}
 	digest.Members = append(digest.Members, memberWire(s.self))
 	room := budget/2 - proto.Size(digest)
-	for _, member := range s.freshest() {
-		wire := memberWire(member)
+	for _, member := range s.leastTold() {
+		wire := memberWire(*member)
 		room -= proto.Size(wire) + fieldOverhead
 		if room < 0 {
 			break
 		}
+		member.told++
 		digest.Members = append(digest.Members, wire)
 	}
 	s.addHolds(digest, budget-proto.Size(digest))
 	return digest
 }
 
-// freshest returns the heard-of members, newest word first.
-func (s *State) freshest() []Member {
-	var members []Member
+// leastTold returns the heard-of members whose newest word was passed on least
+// often, the newest first among equals.
+func (s *State) leastTold() []*Member {
+	var members []*Member
 	for _, member := range s.members {
 		if member.incarnation != 0 && member.instance.ID != s.self.instance.ID {
-			members = append(members, *member)
+			members = append(members, member)
 		}
 	}
 	sort.Slice(members, func(i, j int) bool {
+		if members[i].told != members[j].told {
+			return members[i].told < members[j].told
+		}
 		if !members[i].heard.Equal(members[j].heard) {
 			return members[i].heard.After(members[j].heard)
 		}
@@ -107,7 +112,7 @@
 			continue
 		}
 		others = append(others, member)
-		if s.watches(member.instance.ID) {
+		if s.watched[member.instance.ID] {
 			watched = append(watched, member)
 		}
 	}
@@ -124,17 +129,6 @@
 	return targets
 }
 
-// watches tells whether this instance and the other are holder and witness of a resource.
-func (s *State) watches(id cardamom.InstanceID) bool {
-	party := s.Party()
-	for _, row := range s.holds {
-		if row.Witness() == party && row.Holder().ID() == id || row.Holder() == party && row.Witness().ID() == id {
-			return true
-		}
-	}
-	return false
-}
-
 func memberWire(m Member) *peerpb.Member {
 	return &peerpb.Member{
 		Id: string(m.instance.ID), Incarnation: uint64(m.incarnation), Place: string(m.instance.Place),
--- a/peers/state.go
+++ b/peers/state.go
@@ -19,6 +19,10 @@
 	"cardamomcourse.example/cardamom/hold"
 )
 
+// membersPerDigest is how many members there may be before word of one takes
+// longer than the suspect time.
+const membersPerDigest = 24
+
 // listLag is the greatest time by which the platform's list is taken to lag.
 const listLag = 30 * time.Second
 
@@ -33,6 +37,8 @@
 	revision    cardamom.Revision
 	heard       time.Time
 	since       time.Time
+	// told is how often this instance has passed the newest word on.
+	told int
 }
 
 // NewMember returns a member as a digest describes it.
@@ -63,6 +69,7 @@
 	listedAt time.Time
 	unlisted map[cardamom.InstanceID]cardamom.Incarnation
 	holds    map[hold.Resource]hold.Row
+	watched  map[cardamom.InstanceID]bool
 	suspect  time.Duration
 	ticked   time.Time
 	cursor   int
@@ -162,9 +169,26 @@
 		return false
 	}
 	s.holds[row.Resource()] = row
+	s.watched = s.partners()
 	return true
 }
 
+// partners returns the instances that share a hold with this one, as holder
+// and witness.
+func (s *State) partners() map[cardamom.InstanceID]bool {
+	party := s.Party()
+	partners := make(map[cardamom.InstanceID]bool)
+	for _, row := range s.holds {
+		switch party {
+		case row.Holder():
+			partners[row.Witness().ID()] = true
+		case row.Witness():
+			partners[row.Holder().ID()] = true
+		}
+	}
+	return partners
+}
+
 // Settled tells whether this instance has had time to hear of the others: of
 // every listed one, or for as long as it takes to suspect one.
 func (s *State) Settled(now time.Time) bool {
@@ -236,7 +260,17 @@
 }
 
 func (s *State) heardLately(member *Member, now time.Time) bool {
-	return member.instance.ID == s.self.instance.ID || now.Sub(member.heard) < s.suspect
+	return member.instance.ID == s.self.instance.ID || now.Sub(member.heard) < s.patience(member.instance.ID)
+}
+
+// patience returns after how long without word a member is suspected. Word of
+// partners comes straight from them; word of the others takes the longer the
+// more members share the digests.
+func (s *State) patience(id cardamom.InstanceID) time.Duration {
+	if s.watched[id] || len(s.members) <= membersPerDigest {
+		return s.suspect
+	}
+	return s.suspect * time.Duration(len(s.members)) / membersPerDigest
 }
 
 // moment is the knowledge at one time.
--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,50 @@
+package poison_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/poison"
+)
+
+var _ = Describe("the ledger of deaths", func() {
+	now := time.Unix(1000, 0)
+
+	It("refuses a fingerprint after two deaths, wherever they were seen", func() {
+		here, there := poison.New(), poison.New()
+		here.Blame(7, "u1/1", now)
+		there.Blame(7, "u2/1", now)
+		Expect(here.Verdict(7, now)).To(Equal(poison.Suspected))
+		here.Merge(there.Suspects(now), now)
+		Expect(here.Verdict(7, now)).To(Equal(poison.Refused))
+		Expect(here.Verdict(8, now)).To(Equal(poison.Clean))
+	})
+
+	It("counts one death once, however often it is told", func() {
+		here, there := poison.New(), poison.New()
+		here.Blame(7, "u1/1", now)
+		there.Merge(here.Suspects(now), now)
+		for range 3 {
+			here.Merge(there.Suspects(now), now)
+		}
+		Expect(here.Verdict(7, now)).To(Equal(poison.Suspected))
+	})
+
+	It("forgets after the expiry", func() {
+		ledger := poison.New()
+		ledger.Blame(7, "u1/1", now)
+		ledger.Blame(7, "u2/1", now)
+		Expect(ledger.Verdict(7, now.Add(time.Hour))).To(Equal(poison.Clean))
+		Expect(ledger.Suspects(now.Add(time.Hour))).To(BeEmpty())
+	})
+
+	It("stays bounded", func() {
+		ledger := poison.New()
+		for n := range 10000 {
+			ledger.Blame(poison.Fingerprint(n), "u/1", now)
+		}
+		Expect(len(ledger.Suspects(now))).To(BeNumerically("<=", 4096))
+	})
+})
--- /dev/null
+++ b/policy/document_test.go
@@ -0,0 +1,93 @@
+package policy_test
+
+import (
+	"flag"
+	"os"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/policy"
+)
+
+var update = flag.Bool("update", false, "record the golden files anew")
+
+func load(path string) (*policy.Document, error) {
+	body, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	return policy.Parse(path, body)
+}
+
+var _ = Describe("a profile document", func() {
+	It("is refused with every fault explained", func() {
+		_, err := load("testdata/faults.jsonc")
+		Expect(err).To(HaveOccurred())
+		if *update {
+			Expect(os.WriteFile("testdata/faults.golden", []byte(err.Error()+"\n"), 0o644)).To(Succeed())
+		}
+		want, readErr := os.ReadFile("testdata/faults.golden")
+		Expect(readErr).NotTo(HaveOccurred())
+		Expect(err.Error() + "\n").To(Equal(string(want)))
+	})
+
+	DescribeTable("of the examples has the sizes of its site",
+		func(site string, models, adapters, cells int) {
+			document, err := load("../examples/" + site + "/profiles.jsonc")
+			Expect(err).NotTo(HaveOccurred())
+			bases := 0
+			for _, id := range document.Models() {
+				if model, _ := document.Model(id); model.Base() == "" {
+					bases++
+				}
+			}
+			Expect(bases).To(Equal(models))
+			Expect(len(document.Models()) - bases).To(Equal(adapters))
+			total := 0
+			for _, service := range document.Services() {
+				total += len(service.Cells())
+			}
+			Expect(total).To(Equal(cells))
+		},
+		Entry("Kalliope", "kalliope", 60, 95, 3),
+		Entry("Salal", "salal", 20, 40, 4),
+	)
+
+	It("splits a model's replicas over its cells without a remainder", func() {
+		document, err := load("../examples/kalliope/profiles.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		for _, id := range document.Models() {
+			model, _ := document.Model(id)
+			total := 0
+			for _, cell := range model.Service().Cells() {
+				total += model.Quota(cell)
+			}
+			Expect(total).To(Equal(model.Profile().Replicas()), string(id))
+		}
+	})
+
+	It("keeps an adapter in cells of its base", func() {
+		document, err := load("../examples/salal/profiles.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		for _, id := range document.Models() {
+			model, _ := document.Model(id)
+			if model.Base() == "" {
+				continue
+			}
+			base, _ := document.Model(model.Base())
+			Expect(base.Cells()).To(ContainElements(model.Cells()), string(id))
+		}
+	})
+
+	It("shares the weight store's streams among the cells", func() {
+		document, err := load("../examples/kalliope/profiles.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		service, ok := document.Service(cardamom.ServiceID("muse-models"))
+		Expect(ok).To(BeTrue())
+		total := 0
+		for _, cell := range service.Cells() {
+			total += service.LoadStreams(cell)
+		}
+		Expect(total).To(Equal(4))
+	})
+})
--- /dev/null
+++ b/revs/revs_test.go
@@ -0,0 +1,86 @@
+package revs_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/revs"
+	"cardamomcourse.example/cardamom/table"
+)
+
+var _ = Describe("publishing", func() {
+	var (
+		ctx   context.Context
+		fake  *fakes.Table
+		store *table.HTTP
+		now   = time.Unix(1000, 0)
+	)
+
+	BeforeEach(func() {
+		ctx = context.Background()
+		fake = fakes.NewTable(10000, 10000)
+		server := httptest.NewServer(fake.Handler())
+		DeferCleanup(server.Close)
+		store = table.NewHTTP(server.Listener.Addr().String(), time.Second)
+	})
+
+	It("gives ten racing operators one winner, and each loser a conflict", func() {
+		var all sync.WaitGroup
+		errs := make(chan error, 10)
+		for n := range 10 {
+			all.Go(func() {
+				_, err := revs.Publish(ctx, store, revs.Edit{ID: fmt.Sprintf("e%d", n), Document: []byte("{}")}, now)
+				errs <- err
+			})
+		}
+		all.Wait()
+		close(errs)
+		won := 0
+		for err := range errs {
+			if err == nil {
+				won++
+				continue
+			}
+			Expect(errors.Is(err, revs.ErrConflict)).To(BeTrue(), err.Error())
+		}
+		Expect(won).To(Equal(1))
+		Expect(revs.History(ctx, store)).To(HaveLen(1))
+	})
+
+	It("publishes once when the reply is lost after the commit", func() {
+		fake.SetFaults(fakes.TableFaults{LoseReplies: 2})
+		revision, err := revs.Publish(ctx, store, revs.Edit{ID: "e", Document: []byte("{}")}, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision.Number).To(Equal(cardamom.Revision(1)))
+		Expect(revs.History(ctx, store)).To(HaveLen(1))
+	})
+
+	It("recognises an edit published before, also after later ones", func() {
+		first := revs.Edit{ID: "e", Document: []byte("{}")}
+		_, err := revs.Publish(ctx, store, first, now)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = revs.Publish(ctx, store, revs.Edit{ID: "f", Base: 1, Document: []byte("{}")}, now)
+		Expect(err).NotTo(HaveOccurred())
+		again, err := revs.Publish(ctx, store, first, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Number).To(Equal(cardamom.Revision(1)))
+		head, err := revs.Head(ctx, store)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(head.Number).To(Equal(cardamom.Revision(2)))
+	})
+
+	It("says that nothing was written while the table is down", func() {
+		fake.SetFaults(fakes.TableFaults{Down: true})
+		_, err := revs.Publish(ctx, store, revs.Edit{ID: "e"}, now)
+		Expect(errors.Is(err, table.ErrUnavailable)).To(BeTrue())
+	})
+})
