--- a/admit/desk.go
+++ b/admit/desk.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -113,9 +114,9 @@
 	case g := <-w.granted:
 		return d.pass(w, g)
 	case <-ctx.Done():
-		refusal = cardamom.Refuse(cardamom.ReasonCallerGone, "caller went away while waiting")
+		refusal = ended(ctx)
 	case <-timer.C:
-		refusal = cardamom.Refuse(cardamom.ReasonDeadline, "deadline passed while waiting")
+		refusal = ended(ctx)
 	}
 	if !d.abandon(w) {
 		return d.pass(w, <-w.granted)
@@ -123,6 +124,14 @@
 	return nil, refusal
 }
 
+// ended returns the refusal of a wait that was broken off.
+func ended(ctx context.Context) *cardamom.Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return cardamom.Refuse(cardamom.ReasonCallerGone, "caller went away while waiting")
+	}
+	return cardamom.Refuse(cardamom.ReasonDeadline, "deadline passed while waiting")
+}
+
 func (d *Desk) pass(w *waiter, g grant) (*Pass, *cardamom.Refusal) {
 	if g.refusal != nil {
 		return nil, g.refusal
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -180,6 +181,8 @@
 		return cardamom.Refuse(cardamom.ReasonNoUpstream, "upstream did not take the request").After(time.Second)
 	case !result.sent:
 		return cardamom.Refuse(cardamom.ReasonNoUpstream, "upstream can't be reached").After(time.Second)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return cardamom.Fail(cardamom.ReasonCallerGone, "caller went away")
 	case ctx.Err() != nil:
 		return cardamom.Fail(cardamom.ReasonDeadline, "deadline passed while the upstream worked")
 	default:
