Prove the promises on real processes and add seeded storms

Ruled out: the registry and the routing, both followed the rows they knew. Change: whoever is named in a row just written is told at once; a step that was not written waits a poll before the next try.

--- /dev/null
+++ b/cmd/cardload/storm.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/fakes/fleet"
+)
+
+// The shape of one storm.
+const (
+	// stormSpan is the time over which requests are sent and faults begin.
+	stormSpan = 6 * time.Second
+	// stormSettle is by when every fault has been taken back.
+	stormSettle = 8 * time.Second
+	// stormLimit bounds one storm.
+	stormLimit = 90 * time.Second
+	// stormFaults is how many faults one storm has.
+	stormFaults = 4
+	stormLabels = 110
+	stormColds  = 60
+)
+
+// stormWire is what a series of storms has shown.
+type stormWire struct {
+	Runs       int            `json:"runs"`
+	Failed     int            `json:"failed_to_start"`
+	Requests   int            `json:"requests"`
+	Resends    int            `json:"resends"`
+	Keys       int            `json:"keys"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Loads      int            `json:"loads"`
+	Deaths     int            `json:"upstream_deaths"`
+	Violations []string       `json:"violations"`
+	Faults     map[string]int `json:"faults"`
+}
+
+func stormCommand() *cobra.Command {
+	var programs string
+	var paths []string
+	var runs, parallel int
+	var seed uint64
+	command := &cobra.Command{
+		Use: "storm", Short: "Run seeded series of random faults", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			wire, err := runStorms(command.Context(), paths, programs, seed, runs, parallel)
+			if err != nil {
+				return err
+			}
+			body, err := json.MarshalIndent(wire, "", "  ")
+			if err != nil {
+				return eris.Wrap(err, "encode result")
+			}
+			fmt.Println(string(body))
+			if len(wire.Violations) > 0 {
+				return eris.Errorf("%d violations", len(wire.Violations))
+			}
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringSliceVar(&paths, "deployment", []string{"examples/small/deployment.jsonc", "examples/small/deployment-unfenced.jsonc"}, "deployment files, used in turn")
+	flags.StringVar(&programs, "programs", "bin", "folder with cardd and cardfake")
+	flags.IntVar(&runs, "runs", 10, "how many storms")
+	flags.IntVar(&parallel, "parallel", 2, "how many at once")
+	flags.Uint64Var(&seed, "seed", 1, "seed of the first storm")
+	return command
+}
+
+func runStorms(ctx context.Context, paths []string, programs string, seed uint64, runs, parallel int) (*stormWire, error) {
+	wire := &stormWire{Outcomes: make(map[string]int), Faults: make(map[string]int)}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	seeds := make(chan uint64)
+	for range parallel {
+		all.Go(func() {
+			for next := range seeds {
+				path := paths[next%uint64(len(paths))]
+				s, r, err := runStorm(ctx, path, programs, next)
+				mu.Lock()
+				wire.add(next, s, r, err)
+				mu.Unlock()
+			}
+		})
+	}
+	for n := range runs {
+		seeds <- seed + uint64(n)
+	}
+	close(seeds)
+	all.Wait()
+	return wire, nil
+}
+
+func (w *stormWire) add(seed uint64, s *scenario, r *report, err error) {
+	if err != nil {
+		w.Failed++
+		w.Violations = append(w.Violations, fmt.Sprintf("seed %d did not run: %v", seed, err))
+		return
+	}
+	w.Runs++
+	for _, fault := range s.wire.Faults {
+		w.Faults[fault.Do]++
+	}
+	for _, series := range r.Series {
+		w.Requests += series.Count
+		for outcome, count := range series.Outcomes {
+			w.Outcomes[outcome] += count
+		}
+	}
+	w.Resends += r.Resends
+	w.Keys += r.Keys
+	w.Loads += r.Loads
+	w.Deaths += r.Deaths
+	for _, violation := range r.Violations {
+		w.Violations = append(w.Violations, fmt.Sprintf("seed %d: %s", seed, violation))
+	}
+}
+
+// runStorm runs one storm whose faults and requests all come from the seed.
+func runStorm(ctx context.Context, path, programs string, seed uint64) (*scenario, *report, error) {
+	deployment, err := fleet.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &scenario{deployment: deployment, wire: scenarioWire{
+		Proxied: true, Seed: seed, LimitS: int64(stormLimit.Seconds()),
+		Settings: map[string]any{
+			"peers":   map[string]any{"exchange_ms": 100, "suspect_ms": 1000},
+			"engines": map[string]any{"report_ms": 50, "timeout_ms": 500},
+		},
+		Load: []loadWire{
+			{Name: "labels", Count: stormLabels, OverMS: stormSpan.Milliseconds(), Service: "app", Path: "/labels", Method: "POST", Keyed: true, Resends: 8, DeadlineMS: 3000},
+			{Name: "orders", Count: stormColds, OverMS: stormSpan.Milliseconds(), Keyed: true, Resends: 8, Tokens: 8, StreamShare: 0.5, DeadlineMS: 8000},
+			{Name: "reads", Count: stormColds, OverMS: stormSpan.Milliseconds(), Tokens: 8, StreamShare: 1, DeadlineMS: 8000},
+		},
+	}}
+	random := rand.New(rand.NewPCG(seed, 0))
+	for range stormFaults {
+		s.wire.Faults = append(s.wire.Faults, randomFault(random, deployment)...)
+	}
+	r, err := s.run(ctx, programs, "")
+	return s, r, err
+}
+
+// randomFault draws a fault with what takes it back.
+func randomFault(random *rand.Rand, deployment *fleet.Deployment) []faultWire {
+	at := random.Int64N(stormSpan.Milliseconds())
+	back := at + 500 + random.Int64N(stormSettle.Milliseconds()-at)
+	instances, runners, plains := deployment.Instances(), deployment.Runners(""), deployment.Plains("")
+	instance := instances[random.IntN(len(instances))].ID
+	runner := runners[random.IntN(len(runners))].ID
+	plain := plains[random.IntN(len(plains))].ID
+	kinds := []string{"drop-reply", "hold", "duplicate", "delay", "refuse", "black-hole"}
+	kind := kinds[random.IntN(len(kinds))]
+	switch random.IntN(10) {
+	case 0, 1:
+		return []faultWire{{AtMS: at, Do: "kill", Target: instance}, {AtMS: back, Do: "restart", Target: instance}}
+	case 2, 3:
+		return []faultWire{{AtMS: at, Do: "pause", Target: instance}, {AtMS: back, Do: "resume", Target: instance}}
+	case 4:
+		return []faultWire{{AtMS: at, Do: "kill", Target: runner}, {AtMS: back, Do: "restart", Target: runner}}
+	case 5:
+		return []faultWire{{AtMS: at, Do: "proxy", Target: runner, Proxy: []fakes.Fault{{Path: "/engine/orders", Kind: kind, Count: 3, MS: 1500}}}}
+	case 6:
+		return []faultWire{{AtMS: at, Do: "proxy", Target: plain, Proxy: []fakes.Fault{{Path: "/", Kind: unrepeated(kind), Count: 4, MS: 1500}}}}
+	case 7:
+		return []faultWire{{AtMS: at, Do: "table", Table: fakes.TableFaults{Down: true}}, {AtMS: back, Do: "table"}}
+	case 8:
+		return []faultWire{{AtMS: at, Do: "table", Table: fakes.TableFaults{DelayMS: 1000, LoseReplies: 3}}, {AtMS: back, Do: "table"}}
+	default:
+		return []faultWire{{AtMS: at, Do: "weights", Factor: 0.1}, {AtMS: back, Do: "weights", Factor: 1}}
+	}
+}
+
+// unrepeated replaces faults in which the network itself repeats a request:
+// a plain service that does not know keys can't be kept from running it twice.
+func unrepeated(kind string) string {
+	if kind == "hold" || kind == "duplicate" {
+		return "drop-reply"
+	}
+	return kind
+}
--- a/ctrl/gossip.go
+++ b/ctrl/gossip.go
@@ -22,17 +22,34 @@
 // exchange sends digests to a few members.
 func (l *Loop) exchange(now time.Time) {
 	for _, target := range l.peers.Targets() {
-		client := l.options.Dialer.Dial(target.Instance().PeerAddress)
-		digest := l.compose(now)
-		l.start(func(ctx context.Context) event {
-			limited, cancel := context.WithTimeout(ctx, l.options.Settings.Suspect()/2)
-			defer cancel()
-			reply, err := client.Exchange(limited, digest)
-			if err != nil {
-				return nil
-			}
-			return digestMerged{digest: reply}
-		})
+		l.exchangeWith(target.Instance().PeerAddress, now)
+	}
+}
+
+func (l *Loop) exchangeWith(address string, now time.Time) {
+	if address == "" {
+		return
+	}
+	client := l.options.Dialer.Dial(address)
+	digest := l.compose(now)
+	l.start(func(ctx context.Context) event {
+		limited, cancel := context.WithTimeout(ctx, l.options.Settings.Suspect()/2)
+		defer cancel()
+		reply, err := client.Exchange(limited, digest)
+		if err != nil {
+			return nil
+		}
+		return digestMerged{digest: reply}
+	})
+}
+
+// tell sends word of a row just written to those it names, who must not depend
+// on the table to learn of it.
+func (l *Loop) tell(row hold.Row, now time.Time) {
+	for _, party := range []hold.Party{row.Holder(), row.Witness()} {
+		if !party.None() && party != l.peers.Party() {
+			l.exchangeWith(l.peerAddress(party.ID()), now)
+		}
 	}
 }
 
--- a/ctrl/holds.go
+++ b/ctrl/holds.go
@@ -66,7 +66,7 @@
 		l.dirty = true
 	}
 	step := hold.Decide(row, hold.NewSelf(l.peers.Party(), l.leaving), l.ranked(resource, now), l.peers.At(now))
-	if step.Kind() == hold.Keep {
+	if step.Kind() == hold.Keep || now.Before(l.retries[resource]) {
 		return
 	}
 	l.busy[resource] = true
@@ -179,8 +179,10 @@
 	if e.err == nil {
 		l.peers.LearnHold(e.row)
 		l.holdChanged(e.resource, now)
+		l.tell(e.row, now)
 		return
 	}
+	l.retries[e.resource] = now.Add(l.options.Settings.TablePoll())
 	l.options.Logger.Warn("hold_not_written", "resource", e.resource, "step", e.kind, "error", e.err)
 	if errors.Is(e.err, table.ErrUnknown) || errors.Is(e.err, table.ErrConflict) {
 		l.readBack()
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -95,6 +95,8 @@
 	shards    map[hold.Resource]*heldShard
 	follows   map[cardamom.CellID]*follow
 	busy      map[hold.Resource]bool
+	// retries is when a step that was not written may be tried again.
+	retries map[hold.Resource]time.Time
 	// acted is the effective row that this instance's role follows.
 	acted    map[hold.Resource]hold.Row
 	rowsRead bool
@@ -119,6 +121,7 @@
 		follows: make(map[cardamom.CellID]*follow),
 		busy:    make(map[hold.Resource]bool),
 		acted:   make(map[hold.Resource]hold.Row),
+		retries: make(map[hold.Resource]time.Time),
 	}
 }
 
@@ -204,6 +207,7 @@
 	}
 	for id, f := range l.follows {
 		view.Follows[id] = f.replicas
+		view.Cells = append(view.Cells, l.effective(cellResource(id), now))
 	}
 	for n := range l.options.Settings.ClaimShards() {
 		view.Claims = append(view.Claims, l.effective(claim.ShardResource(n), now))
--- a/entry/info.go
+++ b/entry/info.go
@@ -8,6 +8,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/hold"
 )
 
 // addressesWire is the JSON form of an address answer.
@@ -106,6 +107,7 @@
 	Revision uint64       `json:"revision"`
 	Members  []memberWire `json:"members"`
 	Claims   []holdWire   `json:"claims"`
+	Holds    []holdWire   `json:"holds"`
 	Cells    []cellWire   `json:"cells"`
 }
 
@@ -122,6 +124,17 @@
 	Version  uint64 `json:"version"`
 }
 
+func holdWires(rows []hold.Row) []holdWire {
+	wires := make([]holdWire, 0, len(rows))
+	for _, row := range rows {
+		wires = append(wires, holdWire{
+			Resource: string(row.Resource()), Holder: string(row.Holder().ID()),
+			Witness: string(row.Witness().ID()), Version: row.Version(),
+		})
+	}
+	return wires
+}
+
 type cellWire struct {
 	Cell     string `json:"cell"`
 	Models   int    `json:"models"`
@@ -142,12 +155,8 @@
 			ID: string(member.Instance().ID), Place: string(member.Instance().Place), Revision: uint64(member.Revision()),
 		})
 	}
-	for _, row := range view.Claims {
-		wire.Claims = append(wire.Claims, holdWire{
-			Resource: string(row.Resource()), Holder: string(row.Holder().ID()),
-			Witness: string(row.Witness().ID()), Version: row.Version(),
-		})
-	}
+	wire.Claims = holdWires(view.Claims)
+	wire.Holds = holdWires(view.Cells)
 	for cell, models := range view.Follows {
 		status := cellWire{Cell: string(cell), Models: len(models)}
 		for _, replicas := range models {
--- /dev/null
+++ b/proof/outcome_test.go
@@ -0,0 +1,187 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/fakes/caller"
+)
+
+func label(key string) caller.Request {
+	return caller.Request{
+		Service: "app", Path: "/labels", Method: "POST", Prompt: "label for " + key, Key: key, Deadline: 3 * time.Second,
+	}
+}
+
+// labels sends many keyed calls, each again until it has a final word, and
+// returns the last words.
+func (s *site) labels(count int, during func()) map[string][]cardamom.Outcome {
+	words := make(map[string][]cardamom.Outcome)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := range count {
+		key := fmt.Sprintf("label-%d", n)
+		all.Go(func() {
+			for try := 0; try < 20; try++ {
+				result := s.caller.Do(s.ctx, label(key))
+				mu.Lock()
+				words[key] = append(words[key], result.Outcome)
+				GinkgoWriter.Printf("%s: %s %s at %s after %v\n", key, result.Outcome, result.Reason, result.Instance, result.Total)
+				mu.Unlock()
+				if result.Outcome == cardamom.Served || result.Outcome == cardamom.MayHaveRun {
+					return
+				}
+				s.caller.Forget("app")
+			}
+		})
+	}
+	during()
+	all.Wait()
+	return words
+}
+
+// honest checks the words on each key against the truth.
+func (s *site) honest(words map[string][]cardamom.Outcome) {
+	truth := s.truth()
+	for key, outcomes := range words {
+		served, ran := false, truth.Runs[key] > 0
+		allNotRun := true
+		for _, outcome := range outcomes {
+			served = served || outcome == cardamom.Served
+			allNotRun = allNotRun && outcome == cardamom.NotRun
+		}
+		Expect(served && !ran).To(BeFalse(), "%s was told served and did not run", key)
+		Expect(allNotRun && ran).To(BeFalse(), "%s was told not-run and ran", key)
+	}
+}
+
+var _ = Describe("a request that must not run twice", func() {
+	var s *site
+	BeforeEach(func() { s = startSite("deployment.jsonc") })
+
+	It("runs once when its instance dies and it is sent again elsewhere", func() {
+		holder, _ := s.holder("claims/0")
+		words := s.labels(200, func() { Expect(s.Kill(holder)).To(Succeed()) })
+		s.honest(words)
+	})
+
+	It("runs once when replies are lost after it ran", func() {
+		for _, plain := range s.deployment.Plains("") {
+			Expect(s.Faults(plain.ID, fakes.Fault{Path: "/", Kind: "drop-reply", Count: 20})).To(Succeed())
+		}
+		s.honest(s.labels(200, func() {}))
+	})
+
+	It("runs once when an instance is paused in the middle and resumed", func() {
+		holder, _ := s.holder("claims/1")
+		words := s.labels(200, func() {
+			Expect(s.Pause(holder)).To(Succeed())
+			Expect(s.Await(s.ctx, eventually, "another holds the shard", func() bool {
+				for _, instance := range s.deployment.Instances() {
+					var now status
+					if instance.ID == holder || s.Status(instance.ID, &now) != nil {
+						continue
+					}
+					for _, claim := range now.Claims {
+						if claim.Resource == "claims/1" && claim.Holder != holder {
+							return true
+						}
+					}
+				}
+				return false
+			})).To(Succeed())
+			Expect(s.Resume(holder)).To(Succeed())
+		})
+		s.honest(words)
+	})
+
+	It("is served while the table is down, also past an instance's death", func() {
+		holder, _ := s.holder("claims/2")
+		Expect(s.TableFaults(fakes.TableFaults{Down: true})).To(Succeed())
+		words := s.labels(100, func() { Expect(s.Kill(holder)).To(Succeed()) })
+		s.honest(words)
+		for key, outcomes := range words {
+			Expect(outcomes[len(outcomes)-1]).To(BeElementOf(cardamom.Served, cardamom.MayHaveRun), key)
+		}
+	})
+})
+
+var _ = Describe("leaving", func() {
+	var s *site
+	BeforeEach(func() { s = startSite("deployment.jsonc") })
+
+	It("cuts off no request in progress when an instance shuts down", func() {
+		s.ask(request("wide-1"))
+		long := request("wide-1")
+		long.Tokens = 300
+		var all sync.WaitGroup
+		results := make([]caller.Result, 20)
+		target := s.deployment.Instances()[0].ID
+		for n := range results {
+			all.Go(func() {
+				results[n], _ = s.caller.At(s.ctx, s.Caller(target), 0, long, time.Now())
+			})
+		}
+		Expect(s.Await(s.ctx, eventually, "the requests run", func() bool {
+			running := 0
+			for _, report := range s.reports() {
+				for _, loaded := range report.Loaded {
+					running += loaded.Running
+				}
+			}
+			return running >= 8
+		})).To(Succeed())
+		Expect(s.Terminate(target)).To(Succeed())
+		all.Wait()
+		for _, result := range results {
+			Expect(result.Outcome).To(Equal(cardamom.Served), result.Reason)
+			Expect(result.Whole).To(BeTrue())
+		}
+		process, _ := s.Process(target)
+		Eventually(process.Done(), eventually).Should(BeClosed())
+	})
+
+	It("sends nothing new to a leaving upstream", func() {
+		s.ask(request("solo-1"))
+		leaving := s.loader("solo-1")
+		Expect(s.Leave(leaving)).To(Succeed())
+		Expect(s.Await(s.ctx, eventually, "the model has moved", func() bool {
+			s.caller.Do(s.ctx, request("solo-1"))
+			now := s.loader("solo-1")
+			return now != "" && now != leaving
+		})).To(Succeed())
+		s.ask(request("solo-1"))
+		Expect(s.loader("solo-1")).NotTo(Equal(leaving))
+		s.truth()
+	})
+})
+
+var _ = Describe("a request that crashes its upstreams", func() {
+	It("is refused everywhere after the second death", func() {
+		s := startSite("deployment.jsonc")
+		s.ask(request("wide-1"))
+		poison := request("wide-1")
+		poison.Prompt = "CRASH-THE-RUNNER"
+		poison.Deadline = 8 * time.Second
+		Expect(s.Await(s.ctx, eventually, "it is refused as poison", func() bool {
+			result := s.caller.Do(s.ctx, poison)
+			return result.Reason == string(cardamom.ReasonPoison)
+		})).To(Succeed())
+		for _, address := range s.addresses() {
+			Expect(s.Await(s.ctx, eventually, address+" refuses it", func() bool {
+				ctx, cancel := context.WithTimeout(s.ctx, poison.Deadline)
+				defer cancel()
+				result, _ := s.caller.At(ctx, address, 0, poison, time.Now())
+				return result.Reason == string(cardamom.ReasonPoison)
+			})).To(Succeed())
+		}
+		Expect(s.truth().Deaths).To(Equal(2))
+	})
+})
--- /dev/null
+++ b/proof/suite_test.go
@@ -0,0 +1,163 @@
+package proof_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/fakes/caller"
+	"cardamomcourse.example/cardamom/fakes/fleet"
+)
+
+const (
+	// specLimit bounds one spec.
+	specLimit = 90 * time.Second
+	// eventually is how long a condition may take on a busy machine.
+	eventually = 30 * time.Second
+)
+
+func TestProof(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proof")
+}
+
+var programs string
+
+var _ = BeforeSuite(func() {
+	programs = GinkgoT().TempDir()
+	for _, name := range []string{"cardd", "cardfake"} {
+		output, err := exec.Command("go", "build", "-o", filepath.Join(programs, name), "../cmd/"+name).CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(output))
+	}
+})
+
+// site is a running deployment with a caller.
+type site struct {
+	*fleet.Fleet
+	ctx        context.Context
+	deployment *fleet.Deployment
+	caller     *caller.Caller
+	folder     string
+}
+
+func startSite(file string) *site {
+	deployment, err := fleet.Load("../examples/small/" + file)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), specLimit)
+	DeferCleanup(cancel)
+	s := &site{ctx: ctx, deployment: deployment, folder: GinkgoT().TempDir()}
+	s.Fleet, err = fleet.Start(ctx, fleet.Options{
+		Deployment: deployment, Programs: programs, Folder: s.folder, Proxied: true,
+		Extra: map[string]any{
+			"peers":   map[string]any{"exchange_ms": 100, "suspect_ms": 1000},
+			"engines": map[string]any{"report_ms": 50, "timeout_ms": 500},
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Stop)
+	DeferCleanup(s.printLogs)
+	s.caller = caller.New(s.addresses(), "north")
+	return s
+}
+
+// printLogs shows the instances' logs of a failed spec.
+func (s *site) printLogs() {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	files, _ := filepath.Glob(s.folder + "/entry-*.log")
+	for _, file := range files {
+		body, _ := os.ReadFile(file)
+		GinkgoWriter.Printf("== %s\n%s\n", filepath.Base(file), body)
+	}
+}
+
+func (s *site) addresses() []string {
+	var addresses []string
+	for _, instance := range s.deployment.Instances() {
+		addresses = append(addresses, s.Caller(instance.ID))
+	}
+	return addresses
+}
+
+func request(model string) caller.Request {
+	return caller.Request{Model: model, Prompt: "for " + model, Tokens: 8, Stream: true, Deadline: 20 * time.Second}
+}
+
+// ask sends a request until it gets an answer from an instance that lives.
+func (s *site) ask(r caller.Request) caller.Result {
+	var result caller.Result
+	err := s.Await(s.ctx, eventually, "an answer for "+r.Model, func() bool {
+		result = s.caller.Do(s.ctx, r)
+		if result.Outcome == cardamom.Served {
+			return true
+		}
+		s.caller.Forget(r.Model + r.Service)
+		return false
+	})
+	Expect(err).NotTo(HaveOccurred(), result.Reason)
+	Expect(result.Whole).To(BeTrue())
+	return result
+}
+
+// truth returns what really happened; what must never happen has not.
+func (s *site) truth() fakes.TruthWire {
+	truth, err := s.Truth()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(truth.OverReplicas).To(BeEmpty())
+	Expect(truth.OverMemory).To(BeEmpty())
+	Expect(truth.Doubled).To(BeEmpty())
+	Expect(truth.Cut).To(BeEmpty())
+	return truth
+}
+
+// status is the part of an instance's status that the specs look at.
+type status struct {
+	Revision uint64 `json:"revision"`
+	Claims   []struct {
+		Resource string `json:"resource"`
+		Holder   string `json:"holder"`
+		Witness  string `json:"witness"`
+	} `json:"claims"`
+	Holds []struct {
+		Resource string `json:"resource"`
+		Holder   string `json:"holder"`
+		Witness  string `json:"witness"`
+	} `json:"holds"`
+}
+
+// holder returns who holds a resource and who witnesses it, once both are named.
+func (s *site) holder(resource string) (holder, witness string) {
+	err := s.Await(s.ctx, eventually, resource+" is held and witnessed", func() bool {
+		for _, instance := range s.deployment.Instances() {
+			var status status
+			if s.Status(instance.ID, &status) != nil {
+				continue
+			}
+			for _, h := range append(status.Claims, status.Holds...) {
+				if h.Resource == resource && h.Holder != "" && h.Witness != "" {
+					holder, witness = h.Holder, h.Witness
+					return true
+				}
+			}
+		}
+		return false
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return holder, witness
+}
+
+// home returns the cell of a model.
+func (s *site) home(model string) string {
+	known, ok := s.deployment.Document().Model(cardamom.ModelID(model))
+	Expect(ok).To(BeTrue())
+	return "cell/" + string(known.Cells()[0])
+}
--- a/route/view.go
+++ b/route/view.go
@@ -36,6 +36,8 @@
 	Plain map[cardamom.ServiceID][]cardamom.Upstream
 	// Claims are the owners of the claim shards.
 	Claims []hold.Row
+	// Cells are the holders of the cells this instance follows.
+	Cells []hold.Row
 	// Issue is the newest hold version known.
 	Issue uint64
 	// Unready tells why the instance is not ready, empty if it is.
