Poll engines by need, hold watches longer, compress documents

A cold model was noticed ready up to 200 ms late, and 16 first requests of 55 ms each made the holder load a second replica. Change: engines without news are asked ten times less often, a loading one when it says that it will be ready; a watch is held longer the more followers there are; documents are stored and sent compressed; another replica is loaded only if the backlog outlasts a load.

--- a/cells/cell.go
+++ b/cells/cell.go
@@ -55,6 +55,7 @@
 	pending     map[string]*pending
 	draining    map[cardamom.ModelID]uint64
 	barred      map[cardamom.ModelID]time.Time
+	loading     map[cardamom.ModelID]time.Time
 }
 
 // Cell is the state of one cell.
@@ -70,6 +71,8 @@
 	history   map[cardamom.ModelID]*keep.History
 	watchers  map[cardamom.InstanceID]*watcher
 	exports   *exports
+	// loadPerMB is the average time in nanoseconds of loading one MB.
+	loadPerMB float64
 	dropped   []string
 }
 
@@ -140,6 +143,7 @@
 			pending:  make(map[string]*pending),
 			draining: make(map[cardamom.ModelID]uint64),
 			barred:   make(map[cardamom.ModelID]time.Time),
+			loading:  make(map[cardamom.ModelID]time.Time),
 		}
 		c.upstreams[id] = u
 	}
@@ -153,6 +157,7 @@
 		return
 	}
 	before := u.loaded
+	c.learnLoads(u, report, now)
 	u.incarnation = report.Incarnation
 	u.memory = report.Memory
 	u.slots = report.Slots
@@ -173,6 +178,26 @@
 	c.export()
 }
 
+// learnLoads takes the times of loads that the report shows finished.
+func (c *Cell) learnLoads(u *upstream, report *engine.Report, now time.Time) {
+	for _, loaded := range report.Loaded {
+		known, held := u.loaded[loaded.Model]
+		model, ok := c.document.Model(loaded.Model)
+		since := u.loading[loaded.Model]
+		switch {
+		case loaded.State == engine.Loading && since.IsZero():
+			u.loading[loaded.Model] = now
+		case loaded.State == engine.Ready && held && known.State == engine.Loading && ok && !since.IsZero():
+			sample := float64(now.Sub(since)) / float64(model.Checkpoint())
+			if c.loadPerMB == 0 {
+				c.loadPerMB = sample
+			}
+			c.loadPerMB += loadSmoothing * (sample - c.loadPerMB)
+			delete(u.loading, loaded.Model)
+		}
+	}
+}
+
 // settle ends the pending orders whose effect the report shows, and those of
 // an earlier holder that a fenced engine can no longer accept.
 func (c *Cell) settle(u *upstream, report *engine.Report) {
@@ -323,6 +348,28 @@
 	return charged
 }
 
+// unhurried is a pause longer than any between two reports.
+const unhurried = time.Hour
+
+// Expecting tells whether news of the upstream is due, and after what time: an
+// order or a load is under way, a replica drains, or followers use it.
+func (c *Cell) Expecting(id cardamom.UpstreamID) (time.Duration, bool) {
+	u, ok := c.upstreams[id]
+	if !ok {
+		return 0, false
+	}
+	due := unhurried
+	for _, loaded := range u.loaded {
+		if loaded.State == engine.Loading {
+			due = min(due, loaded.ReadyIn)
+		}
+	}
+	if len(u.pending) > 0 || len(u.draining) > 0 {
+		due = 0
+	}
+	return due, due < unhurried || u.reported.IsZero() || c.sharers(u) > 0
+}
+
 // known tells whether what is loaded on the upstream can be trusted for decisions.
 func (u *upstream) known(now time.Time) bool {
 	return !u.reported.IsZero() && now.Sub(u.reported) < reportFresh && u.fenced
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -13,15 +13,17 @@
 
 const (
 	// reportFresh is how old a report may be for new decisions.
-	reportFresh = 5 * time.Second
+	reportFresh = 10 * time.Second
 	// resendAfter is how long an unsettled order waits before its next send.
 	resendAfter = 500 * time.Millisecond
 	// retryLoad is how long a failed load keeps its model off the upstream.
 	retryLoad = 2 * time.Second
 	// watcherExpiry is how long a silent follower's demand counts.
-	watcherExpiry = 10 * time.Second
-	// busyShare is the load per slot above which another replica is wanted.
-	busyShare = 1.5
+	watcherExpiry = 30 * time.Second
+	// defaultLoadTime is the expected time of a load before one was seen.
+	defaultLoadTime = 5 * time.Second
+	// loadSmoothing is the weight of the newest load in the expected time.
+	loadSmoothing = 0.3
 )
 
 // ErrNotRecorded means the witness did not take the order; it was not sent.
@@ -155,13 +157,31 @@
 		return least
 	}
 	replicas := 1
-	slots := r.cell.slotsOf(model.ID())
-	if slots > 0 && float64(d.waiting+d.running) > busyShare*float64(slots) {
+	if r.crowded(model, d) {
 		replicas = r.cell.Count(model.ID()) + 1
 	}
 	return min(max(replicas, least), quota)
 }
 
+// crowded tells whether the waiting requests take longer to serve with the
+// ready replicas than another replica takes to load.
+func (r *round) crowded(model *policy.Model, d demand) bool {
+	slots := r.cell.slotsOf(model.ID())
+	if slots == 0 || d.waiting == 0 {
+		return false
+	}
+	backlog := time.Duration(float64(d.waiting) / float64(slots) * float64(d.service))
+	return backlog > r.cell.loadTime(model)
+}
+
+// loadTime returns the expected time of a load from the weight store.
+func (c *Cell) loadTime(model *policy.Model) time.Duration {
+	if c.loadPerMB == 0 {
+		return defaultLoadTime
+	}
+	return time.Duration(c.loadPerMB * float64(model.Checkpoint()))
+}
+
 // slotsOf returns the slots of the upstreams on which the model is ready.
 func (c *Cell) slotsOf(model cardamom.ModelID) int {
 	slots := 0
--- a/cells/use.go
+++ b/cells/use.go
@@ -15,6 +15,8 @@
 	Started  int
 	Urgent   time.Time
 	Priority int
+	// Service is the time of one request in service, 0 if unknown.
+	Service time.Duration
 }
 
 // Seat is a model on an upstream.
@@ -91,6 +93,7 @@
 	running  int
 	urgent   time.Time
 	priority int
+	service  time.Duration
 }
 
 func (c *Cell) demands(now time.Time) map[cardamom.ModelID]demand {
@@ -112,6 +115,7 @@
 	d.model = use.Model
 	d.waiting += use.Waiting
 	d.running += use.Running
+	d.service = max(d.service, use.Service)
 	if use.Waiting > 0 && (d.urgent.IsZero() || use.Urgent.Before(d.urgent)) {
 		d.urgent = use.Urgent
 	}
--- a/ctrl/cells.go
+++ b/ctrl/cells.go
@@ -26,7 +26,7 @@
 	paused   bool
 	dirty    bool
 	decided  time.Time
-	pollers  map[cardamom.UpstreamID]context.CancelFunc
+	pollers  map[cardamom.UpstreamID]*poller
 	parked   []*watched
 	unsaved  []hold.Entry
 	saving   bool
@@ -75,7 +75,7 @@
 	owner := fmt.Sprintf("%s-%d-%d", l.peers.Party().ID(), l.peers.Party().Incarnation(), row.Version())
 	held := &heldCell{
 		resource: row.Resource(), cell: cells.New(id, owner, l.published.Document()),
-		epoch: row.Version(), pollers: make(map[cardamom.UpstreamID]context.CancelFunc),
+		epoch: row.Version(), pollers: make(map[cardamom.UpstreamID]*poller),
 	}
 	lossy := row.Lossy() == row.Version() && row.Version() > 0
 	held.cell.Hold(row.Fence(), service.Fencing(), lossy)
@@ -116,8 +116,8 @@
 }
 
 func (l *Loop) loseCell(held *heldCell, row hold.Row) {
-	for _, cancel := range held.pollers {
-		cancel()
+	for _, p := range held.pollers {
+		p.cancel()
 	}
 	for _, parked := range held.parked {
 		parked.reply <- &peerpb.WatchReply{NotHolder: true}
@@ -151,14 +151,12 @@
 	for _, upstream := range listed {
 		wanted[upstream.ID] = true
 		if _, polled := held.pollers[upstream.ID]; !polled {
-			ctx, cancel := context.WithCancel(l.ctx)
-			held.pollers[upstream.ID] = cancel
-			go l.poll(ctx, held.resource, upstream)
+			held.pollers[upstream.ID] = l.startPoller(held.resource, upstream)
 		}
 	}
-	for id, cancel := range held.pollers {
+	for id, p := range held.pollers {
 		if !wanted[id] {
-			cancel()
+			p.cancel()
 			delete(held.pollers, id)
 		}
 	}
@@ -171,26 +169,6 @@
 	report   *engine.Report
 }
 
-// poll asks an upstream for reports until ctx ends.
-func (l *Loop) poll(ctx context.Context, resource hold.Resource, upstream cardamom.Upstream) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		limited, cancel := context.WithTimeout(ctx, l.options.Settings.EngineTimeout())
-		report, err := l.options.Engines.Report(limited, upstream.Address)
-		cancel()
-		if err == nil {
-			_ = l.post(ctx, reported{resource: resource, upstream: upstream.ID, report: report})
-		}
-		timer.Reset(l.options.Settings.Report())
-	}
-}
-
 func (e reported) apply(l *Loop, now time.Time) {
 	held, ok := l.cells[e.resource]
 	if !ok {
@@ -209,6 +187,7 @@
 		for _, command := range held.cell.Decide(now) {
 			l.sendOrder(held, command)
 		}
+		held.hurry(l.options.Settings.Report())
 	}
 	l.saveDrops(held)
 	l.answerParked(held, now)
--- a/ctrl/gossip.go
+++ b/ctrl/gossip.go
@@ -8,6 +8,7 @@
 	"cardamomcourse.example/cardamom/hold"
 	"cardamomcourse.example/cardamom/peerpb"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/revs"
 )
 
 // maxSuspectsSent bounds the suspects in one digest.
@@ -116,7 +117,12 @@
 		if err != nil || reply.GetRevision() <= have {
 			return documentRead{tried: revision}
 		}
-		l.adopt(ctx, cardamom.Revision(reply.GetRevision()), reply.GetDocument(), reply.GetEdit(), reply.GetEditor())
+		document, err := revs.Expand(reply.GetDocument())
+		if err != nil {
+			l.options.Logger.Error("profile_unreadable", "revision", reply.GetRevision(), "error", err)
+			return documentRead{tried: revision}
+		}
+		l.adopt(ctx, cardamom.Revision(reply.GetRevision()), document, reply.GetEdit(), reply.GetEditor())
 		return documentRead{tried: revision}
 	})
 }
--- a/ctrl/platform.go
+++ b/ctrl/platform.go
@@ -29,14 +29,23 @@
 
 // startReaders polls the platform beside the loop.
 func (l *Loop) startReaders() {
-	poll := l.options.Settings.TablePoll()
-	go l.every(poll, l.readList)
-	go l.every(poll, l.readHolds)
-	go l.every(poll, l.readProfile)
+	go l.every(l.readList)
+	go l.every(l.readHolds)
+	go l.every(l.readProfile)
+}
+
+// membersPerPoll is how many members may read the platform at the pause of the
+// settings. More members pause longer, as news also comes from the first that
+// reads it.
+const membersPerPoll = 100
+
+func (l *Loop) pollPause() time.Duration {
+	members := len(l.options.Views.Load().Active)
+	return l.options.Settings.TablePoll() * time.Duration(max(members, membersPerPoll)) / membersPerPoll
 }
 
 // every runs a call until the loop ends, pausing between the runs.
-func (l *Loop) every(pause time.Duration, call func(ctx context.Context)) {
+func (l *Loop) every(call func(ctx context.Context)) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -45,7 +54,7 @@
 			return
 		case <-timer.C:
 			call(l.ctx)
-			timer.Reset(pause)
+			timer.Reset(l.pollPause())
 		}
 	}
 }
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/cells"
 	"cardamomcourse.example/cardamom/hold"
@@ -13,10 +15,17 @@
 )
 
 const (
-	// watchHold is how long a watch without news is kept open.
+	// watchHold is the least time a watch without news is kept open.
 	watchHold = time.Second
+	// watchHoldPerFollower lengthens it, so that the watches of many followers
+	// stay within the holder's byte budget.
+	watchHoldPerFollower = 100 * time.Millisecond
+	// maxWatchHold is the longest time a watch is kept open.
+	maxWatchHold = 10 * time.Second
 	// watchTimeout is the greatest time of one watch.
-	watchTimeout = 2 * time.Second
+	watchTimeout = 12 * time.Second
+	// tellTimeout is the greatest time of a watch that only tells of demand.
+	tellTimeout = 2 * time.Second
 	// watchPause is the pause after a failed watch.
 	watchPause = 100 * time.Millisecond
 	// watchGather is the time for which demand gathers before the next watch.
@@ -47,7 +56,8 @@
 	}
 	held.cell.Used(watchDomain(e.request, now), now)
 	held.dirty = true
-	e.until = now.Add(min(time.Duration(e.request.GetHoldMs())*time.Millisecond, watchHold))
+	patience := min(max(watchHold, time.Duration(held.cell.Watchers())*watchHoldPerFollower), maxWatchHold)
+	e.until = now.Add(min(time.Duration(e.request.GetHoldMs())*time.Millisecond, patience))
 	held.parked = append(held.parked, e)
 	l.decide(held, now)
 }
@@ -91,7 +101,7 @@
 		watch.Uses = append(watch.Uses, cells.Use{
 			Model: cardamom.ModelID(use.GetModel()), Waiting: int(use.GetWaiting()), Running: int(use.GetRunning()),
 			Started: int(use.GetStarted()), Urgent: now.Add(time.Duration(use.GetUrgentMs()) * time.Millisecond),
-			Priority: int(use.GetPriority()),
+			Priority: int(use.GetPriority()), Service: time.Duration(use.GetServiceMs()) * time.Millisecond,
 		})
 	}
 	for i := 0; i+1 < len(request.GetBusy()); i += 2 {
@@ -112,6 +122,9 @@
 	cancel   context.CancelFunc
 	notify   chan struct{}
 	target   chan hold.Row
+
+	// row is the hold as the follow's goroutine knows it.
+	row hold.Row
 }
 
 // syncFollows starts and ends follows as members come and go.
@@ -209,16 +222,11 @@
 
 // run watches the cell's holder until ctx ends.
 func (f *follow) run(ctx context.Context, l *Loop) {
-	var row hold.Row
 	var epoch, seq uint64
 	for ctx.Err() == nil {
-		select {
-		case row = <-f.target:
-		default:
-		}
-		reply, err := f.watch(ctx, l, row, epoch, seq)
+		reply, err := f.watch(ctx, l, epoch, seq)
 		if err != nil || reply.GetNotHolder() {
-			f.pause(ctx, &row)
+			f.pause(ctx)
 			continue
 		}
 		epoch, seq = reply.GetFence(), reply.GetSeq()
@@ -233,18 +241,27 @@
 }
 
 // pause waits a little, or for a new holder.
-func (f *follow) pause(ctx context.Context, row *hold.Row) {
+func (f *follow) pause(ctx context.Context) {
 	timer := time.NewTimer(watchPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case *row = <-f.target:
+	case f.row = <-f.target:
 	case <-timer.C:
 	}
 }
 
-// watch makes one watch; demand that comes up meanwhile ends it early.
-func (f *follow) watch(ctx context.Context, l *Loop, row hold.Row, epoch, seq uint64) (*peerpb.WatchReply, error) {
+// errRetargeted means that the cell has another holder than the one watched.
+var errRetargeted = eris.New("holder has changed")
+
+// watch makes one watch. Demand that comes up meanwhile, or another holder,
+// ends it early.
+func (f *follow) watch(ctx context.Context, l *Loop, epoch, seq uint64) (*peerpb.WatchReply, error) {
+	select {
+	case f.row = <-f.target:
+	default:
+	}
+	row := f.row
 	if row.Holder().None() {
 		return &peerpb.WatchReply{NotHolder: true}, nil
 	}
@@ -259,6 +276,8 @@
 	select {
 	case r := <-result:
 		return r.reply, r.err
+	case f.row = <-f.target:
+		return nil, errRetargeted
 	case <-f.notify:
 		cancel()
 		timer := time.NewTimer(watchGather)
@@ -275,7 +294,7 @@
 
 // again makes a watch that returns at once, so that the demand is told.
 func (f *follow) again(ctx context.Context, l *Loop, row hold.Row, epoch, seq uint64) (*peerpb.WatchReply, error) {
-	limited, cancel := context.WithTimeout(ctx, watchTimeout)
+	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	request := f.request(l, epoch, seq)
 	request.HoldMs = 0
@@ -313,13 +332,13 @@
 	self := l.peersParty()
 	request := &peerpb.WatchRequest{
 		Cell: string(f.cell), Instance: string(self.ID()), Incarnation: uint64(self.Incarnation()),
-		Fence: epoch, Seq: seq, HoldMs: watchHold.Milliseconds(),
+		Fence: epoch, Seq: seq, HoldMs: maxWatchHold.Milliseconds(),
 	}
 	now := time.Now()
 	for _, use := range uses {
 		request.Uses = append(request.Uses, &peerpb.Use{
 			Model: string(use.Model), Waiting: uint32(use.Waiting), Running: uint32(use.Running),
-			Started: uint32(use.Started), UrgentMs: use.Urgent.Sub(now).Milliseconds(), Priority: int32(use.Priority),
+			Started: uint32(use.Started), UrgentMs: use.Urgent.Sub(now).Milliseconds(), Priority: int32(use.Priority), ServiceMs: use.Service.Milliseconds(),
 		})
 	}
 	for _, seat := range busy {
--- a/engine/http.go
+++ b/engine/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,9 +17,13 @@
 
 // HTTP is the control client of engines with the HTTP interface.
 type HTTP struct {
-	client *http.Client
+	client  *http.Client
+	reports atomic.Int64
 }
 
+// Reports returns how many reports were asked for.
+func (h *HTTP) Reports() int64 { return h.reports.Load() }
+
 // NewHTTP returns a client whose calls last at most timeout.
 func NewHTTP(timeout time.Duration) *HTTP {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
@@ -61,6 +66,7 @@
 
 // Report asks the engine at address for its account of itself.
 func (h *HTTP) Report(ctx context.Context, address string) (*Report, error) {
+	h.reports.Add(1)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/engine/report", nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "build report request")
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -23,18 +23,24 @@
 type Dialer struct {
 	mu      sync.Mutex
 	http    *http.Client
+	meter   *Meter
 	clients map[string]peerpb.Peer
 }
 
 // NewDialer returns a dialer whose calls last at most timeout.
 func NewDialer(timeout time.Duration) *Dialer {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout}
+	meter := &Meter{}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DialContext: meter.DialContext}
 	return &Dialer{
+		meter:   meter,
 		http:    &http.Client{Timeout: timeout, Transport: transport},
 		clients: make(map[string]peerpb.Peer),
 	}
 }
 
+// Meter counts the bytes of the calls this instance makes to peers.
+func (d *Dialer) Meter() *Meter { return d.meter }
+
 // Dial returns the client of the peer at the address.
 func (d *Dialer) Dial(address string) peerpb.Peer {
 	d.mu.Lock()
--- /dev/null
+++ b/link/meter.go
@@ -0,0 +1,52 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// dialTimeout is the greatest time of one connect to a peer.
+const dialTimeout = time.Second
+
+// Meter counts the bytes of connections. It is safe for concurrent use.
+type Meter struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Sent returns how many bytes were written.
+func (m *Meter) Sent() int64 { return m.sent.Load() }
+
+// Received returns how many bytes were read.
+func (m *Meter) Received() int64 { return m.received.Load() }
+
+// DialContext connects as net.Dialer does and counts the connection's bytes.
+func (m *Meter) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &metered{Conn: conn, meter: m}, nil
+}
+
+type metered struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *metered) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *metered) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
--- a/link/server.go
+++ b/link/server.go
@@ -11,6 +11,7 @@
 	"cardamomcourse.example/cardamom/ctrl"
 	"cardamomcourse.example/cardamom/hold"
 	"cardamomcourse.example/cardamom/peerpb"
+	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/route"
 )
 
@@ -97,8 +98,12 @@
 	if published == nil || uint64(published.Revision()) <= request.GetHave() {
 		return &peerpb.FetchReply{}, nil
 	}
+	packed, err := revs.Compress(published.Body())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
 	return &peerpb.FetchReply{
-		Revision: uint64(published.Revision()), Document: published.Body(),
+		Revision: uint64(published.Revision()), Document: packed,
 		Edit: published.Edit(), Editor: published.Editor(),
 	}, nil
 }
--- a/node/provide.go
+++ b/node/provide.go
@@ -22,7 +22,7 @@
 )
 
 // peerTimeout is the greatest time of one call to a peer.
-const peerTimeout = 5 * time.Second
+const peerTimeout = 15 * time.Second
 
 // Set provides all parts of an instance.
 var Set = wire.NewSet(
@@ -78,12 +78,15 @@
 	})
 }
 
-func provideMetrics(desk *admit.Desk, views *route.Holder) *entry.Metrics {
+func provideMetrics(desk *admit.Desk, views *route.Holder, dialer *link.Dialer, engines *engine.HTTP) *entry.Metrics {
 	return entry.NewMetrics(map[string]func() any{
-		"waiting":  func() any { waiting, _ := desk.Waiting(); return waiting },
-		"running":  func() any { _, running := desk.Waiting(); return running },
-		"members":  func() any { return len(views.Load().Active) },
-		"revision": func() any { return revisionOf(views.Load()) },
+		"peer_bytes_sent":     func() any { return dialer.Meter().Sent() },
+		"peer_bytes_received": func() any { return dialer.Meter().Received() },
+		"engine_reports":      func() any { return engines.Reports() },
+		"waiting":             func() any { waiting, _ := desk.Waiting(); return waiting },
+		"running":             func() any { _, running := desk.Waiting(); return running },
+		"members":             func() any { return len(views.Load().Active) },
+		"revision":            func() any { return revisionOf(views.Load()) },
 	})
 }
 
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics := provideMetrics(desk, holder)
+	metrics := provideMetrics(desk, holder, dialer, http)
 	server := provideEntry(settings, incarnation, holder, desk, claims, http, ledger, tracer, metrics, logger)
 	linkServer := provideLinkServer(settings, loop, registry, holder)
 	node := New(settings, loop, desk, server, linkServer, tracer, logger)
--- a/proof/profile_test.go
+++ b/proof/profile_test.go
@@ -16,8 +16,9 @@
 	"cardamomcourse.example/cardamom/revs"
 )
 
-// inForce waits until every listed instance is on the revision.
-func (s *site) inForce(revision uint64, instances []fleet.Placed) {
+// inForce waits until every listed instance is on the second revision.
+func (s *site) inForce(instances []fleet.Placed) {
+	const revision = 2
 	for _, instance := range instances {
 		Expect(s.Await(s.ctx, eventually, fmt.Sprintf("%s is on revision %d", instance.ID, revision), func() bool {
 			var now status
@@ -90,7 +91,7 @@
 			Expect(errors.Is(err, revs.ErrConflict)).To(BeTrue(), err.Error())
 		}
 		Expect(won).To(Equal(1))
-		s.inForce(2, s.deployment.Instances())
+		s.inForce(s.deployment.Instances())
 		Expect(stop()).To(BeZero())
 	})
 
@@ -99,20 +100,20 @@
 		revision, err := revs.Publish(s.ctx, s.Store(), s.edit("lost", 1), time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(revision.Number).To(Equal(cardamom.Revision(2)))
-		s.inForce(2, s.deployment.Instances())
+		s.inForce(s.deployment.Instances())
 	})
 
 	It("reaches an instance that starts while the table is down, and never reverts", func() {
 		_, err := revs.Publish(s.ctx, s.Store(), s.edit("two", 1), time.Now())
 		Expect(err).NotTo(HaveOccurred())
-		s.inForce(2, s.deployment.Instances())
+		s.inForce(s.deployment.Instances())
 		stop := s.neverBack()
 		Expect(s.TableFaults(fakes.TableFaults{Down: true})).To(Succeed())
 		target := s.deployment.Instances()[1]
 		Expect(s.Kill(target.ID)).To(Succeed())
 		Expect(s.Restart(target.ID)).To(Succeed())
 		Expect(s.AwaitReady(s.ctx, target.ID)).To(Succeed())
-		s.inForce(2, []fleet.Placed{target})
+		s.inForce([]fleet.Placed{target})
 		s.ask(request("solo-1"))
 		Expect(s.TableFaults(fakes.TableFaults{})).To(Succeed())
 		Expect(stop()).To(BeZero())
--- a/revs/revs.go
+++ b/revs/revs.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// whole returns the revision with its document unpacked.
+func (w revisionWire) whole() (Revision, error) {
+	revision := w.domain()
+	if len(w.Document) == 0 {
+		return revision, nil
+	}
+	document, err := Expand(w.Document)
+	revision.Document = document
+	return revision, err
+}
+
 // Head returns the newest revision without its document, number 0 if there is none.
 func Head(ctx context.Context, store table.Reader) (Revision, error) {
 	revision, _, err := read(ctx, store, headKey)
@@ -105,7 +116,11 @@
 		if err := json.Unmarshal(row.Value(), &wire); err != nil {
 			return nil, eris.Wrapf(err, "decode %s", row.Key())
 		}
-		history = append(history, wire.domain())
+		revision, err := wire.whole()
+		if err != nil {
+			return nil, err
+		}
+		history = append(history, revision)
 	}
 	return history, nil
 }
@@ -152,7 +167,9 @@
 	if err != nil {
 		return Revision{}, eris.Wrap(err, "encode head")
 	}
-	wire.Document = edit.Document
+	if wire.Document, err = Compress(edit.Document); err != nil {
+		return Revision{}, err
+	}
 	long, err := json.Marshal(wire)
 	if err != nil {
 		return Revision{}, eris.Wrap(err, "encode revision")
@@ -165,7 +182,9 @@
 	if errors.Is(err, table.ErrConflict) {
 		return Revision{}, eris.Wrap(err, "published meanwhile")
 	}
-	return wire.domain(), eris.Wrap(err, "commit revision")
+	published := wire.domain()
+	published.Document = edit.Document
+	return published, eris.Wrap(err, "commit revision")
 }
 
 func revisionKey(number cardamom.Revision) string {
@@ -184,7 +203,8 @@
 	if err := json.Unmarshal(row.Value(), &wire); err != nil {
 		return Revision{}, 0, eris.Wrapf(err, "decode %s", key)
 	}
-	return wire.domain(), row.Version(), nil
+	revision, err := wire.whole()
+	return revision, row.Version(), err
 }
 
 func pause(ctx context.Context) bool {
