Plan ahead of predicted returns; add baselines and experiments

Cause: a tail of cold starts can only shrink at equal idle time if a model is loaded before its predicted return; admission had nothing to be compared with.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	desk := admit.New(notify)
+//	desk := admit.New(admit.Deadline(), notify)
 //	pass, refusal := desk.Enter(ctx, ticket, now)
 //	if refusal == nil {
 //		defer pass.Release(admit.Done, time.Now())
@@ -87,11 +87,14 @@
 	seats   map[cells.Seat]int
 	callers map[string]int
 	demand  Demand
+	policy  Policy
 }
 
-// New returns a desk without queues that tells demand of cells with news.
-func New(demand Demand) *Desk {
+// New returns a desk without queues that follows a policy and tells demand of
+// cells with news.
+func New(policy Policy, demand Demand) *Desk {
 	return &Desk{
+		policy:  policy,
 		queues:  make(map[cardamom.ModelID]*queue),
 		cells:   make(map[cardamom.ModelID]cardamom.CellID),
 		windows: make(map[cardamom.UpstreamID]*window),
@@ -147,7 +150,7 @@
 	d.cells[ticket.Model] = ticket.Cell
 	w := &waiter{
 		ticket: ticket, index: -1, granted: make(chan grant, 1),
-		key: ticket.Arrived.Add(time.Duration(ticket.Priority) * ageStep),
+		key: d.policy.key(ticket),
 	}
 	if refusal := d.check(q, w, now); refusal != nil {
 		return nil, refusal
@@ -172,6 +175,9 @@
 	if w.ticket.QueueLimit > 0 && len(q.waiting) >= w.ticket.QueueLimit {
 		return cardamom.Refuse(cardamom.ReasonQueueFull, "queue of the model is full").After(d.comeBack(q, now))
 	}
+	if !d.policy.refuse {
+		return nil
+	}
 	expected := Expect(d.load(q, w, now))
 	if now.Add(expected).After(w.ticket.Deadline) {
 		detail := "expected to take " + expected.Round(time.Millisecond).String()
@@ -396,6 +402,9 @@
 
 // Sweep refuses the waiting requests that can't be finished in time any more.
 func (d *Desk) Sweep(now time.Time) {
+	if !d.policy.refuse {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for model, q := range d.queues {
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -153,6 +153,9 @@
 // desired returns how many replicas a model should have in this cell.
 func (r *round) desired(model *policy.Model, d demand, quota int) int {
 	least := min(model.Profile().MinWarm(), quota)
+	if r.returning(model) {
+		least = max(least, 1)
+	}
 	if d.waiting == 0 {
 		return least
 	}
@@ -163,6 +166,16 @@
 	return min(max(replicas, least), quota)
 }
 
+// returning tells whether the model is predicted to be asked for about now.
+func (r *round) returning(model *policy.Model) bool {
+	history, known := r.cell.history[model.ID()]
+	strategy, ok := keep.Lookup(model.Profile().Keep())
+	if !known || !ok {
+		return false
+	}
+	return strategy.Plan(history, model.Profile().KeepFor()).Ahead(r.now.Sub(history.LastUse()))
+}
+
 // crowded tells whether the waiting requests take longer to serve with the
 // ready replicas than another replica takes to load.
 func (r *round) crowded(model *policy.Model, d demand) bool {
@@ -307,7 +320,7 @@
 	if history.LastUse().IsZero() {
 		history.Use(r.now)
 	}
-	return r.now.Sub(history.LastUse()) > strategy.Keep(history, model.Profile().KeepFor())
+	return !strategy.Plan(history, model.Profile().KeepFor()).Warm(r.now.Sub(history.LastUse()))
 }
 
 // inUse tells whether the replica has requests or is the base of a loaded adapter.
--- /dev/null
+++ b/cmd/cardload/capacity.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// capacityLimit bounds all measurements together.
+const capacityLimit = 15 * time.Minute
+
+// The markers between which the page holds what is measured.
+const (
+	pageBegin = "<!-- measured: begin -->"
+	pageEnd   = "<!-- measured: end -->"
+)
+
+// planned is a slope to measure.
+type planned struct {
+	name, unit, per string
+	sizes           []float64
+	measure         func(size int) (float64, error)
+}
+
+func capacityCommand() *cobra.Command {
+	var programs, page string
+	command := &cobra.Command{
+		Use: "capacity", Short: "Measure the slopes and renew docs/CAPACITY.md", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(command.Context(), capacityLimit)
+			defer cancel()
+			slopes, err := measureSlopes(ctx, programs, filepath.Join(filepath.Dir(page), "capacity"))
+			if err != nil {
+				return err
+			}
+			relay, err := measureOverhead(ctx, "examples/bench/deployment.jsonc", programs, 2000, 64, 32)
+			if err != nil {
+				return err
+			}
+			return renewPage(page, measuredPage(slopes, relay))
+		},
+	}
+	command.Flags().StringVar(&programs, "programs", "bin", "folder with cardd and cardfake")
+	command.Flags().StringVar(&page, "page", "docs/CAPACITY.md", "page to renew; data and plots go to the folder capacity beside it")
+	return command
+}
+
+func plannedSlopes(ctx context.Context, programs string) []planned {
+	fleets := &fleetCosts{ctx: ctx, programs: programs, costs: make(map[int]idleCost)}
+	fleetSizes := []float64{4, 8, 16, 32}
+	return []planned{
+		{"exchange_time", "µs", "members", memberSizes, exchangeTime},
+		{"digest_size", "bytes", "members", memberSizes, digestBytes},
+		{"member_memory", "bytes", "members", memberSizes, memberMemory},
+		{"look_time", "µs", "members", memberSizes, lookTime},
+		{"address_time", "µs", "members", memberSizes, addressTime},
+		{"parse_time", "ms", "models", modelSizes, parseTime},
+		{"document_packed", "bytes", "models", modelSizes, packedBytes},
+		{"document_memory", "bytes", "models", modelSizes, documentMemory},
+		{"decide_by_models", "µs", "models", modelSizes, decideByModels},
+		{"decide_by_upstreams", "µs", "upstreams", upstreamSizes, decideByUpstreams},
+		{"report_by_upstreams", "µs", "upstreams", upstreamSizes, reportByUpstreams},
+		{"cell_memory", "bytes", "upstreams", upstreamSizes, cellMemory},
+		{"ask_time", "µs", "claims", claimSizes, askTime},
+		{"claim_memory", "bytes", "claims", claimSizes, claimMemory},
+		{"idle_cpu", "% of a core", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.cpu })},
+		{"idle_memory", "MB", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.resident })},
+		{"idle_bytes", "KB/s", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.bytes })},
+		{"table_reads", "reads/s", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.reads })},
+	}
+}
+
+func measureSlopes(ctx context.Context, programs, folder string) (map[string]*slope, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, eris.Wrap(err, "make folder")
+	}
+	slopes := make(map[string]*slope)
+	for _, p := range plannedSlopes(ctx, programs) {
+		s, err := newSlope(p.name, p.unit, p.per, p.sizes, p.measure)
+		if err != nil {
+			return nil, err
+		}
+		if err := s.save(folder); err != nil {
+			return nil, err
+		}
+		slopes[p.name] = s
+	}
+	return slopes, nil
+}
+
+// renewPage replaces what the page holds between the markers.
+func renewPage(path, measured string) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read page")
+	}
+	head, rest, found := strings.Cut(string(body), pageBegin)
+	_, tail, closed := strings.Cut(rest, pageEnd)
+	if !found || !closed {
+		return eris.Errorf("%s lacks the markers %s and %s", path, pageBegin, pageEnd)
+	}
+	text := head + pageBegin + "\n\n" + measured + "\n" + pageEnd + tail
+	return eris.Wrap(os.WriteFile(path, []byte(text), 0o644), "write page")
+}
--- /dev/null
+++ b/cmd/cardload/overload.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"cardamomcourse.example/cardamom/fakes/fleet"
+)
+
+// The deployment of examples/overload.
+const (
+	overloadCapacity   = 80 // requests a second
+	overloadTokens     = 16
+	overloadWarmMS     = 3000
+	overloadDeadlineMS = 2000
+)
+
+// overloadWire is one policy under one load.
+type overloadWire struct {
+	Policy  string         `json:"policy"`
+	Factor  float64        `json:"load_over_capacity"`
+	Sent    int            `json:"sent"`
+	Served  int            `json:"served_in_time"`
+	Goodput float64        `json:"goodput_over_capacity"`
+	Ends    map[string]int `json:"outcomes"`
+	FirstMS float64        `json:"first_p99_ms"`
+	Late    int            `json:"late"`
+	NoWord  int            `json:"no_outcome"`
+}
+
+func overloadCommand() *cobra.Command {
+	var programs string
+	var factors []float64
+	var policies []string
+	var seconds int
+	var seed uint64
+	command := &cobra.Command{
+		Use: "overload", Short: "Compare admission policies beyond capacity", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			for _, factor := range factors {
+				for _, policy := range policies {
+					wire, err := overload(command.Context(), programs, policy, factor, seconds, seed)
+					if err != nil {
+						return err
+					}
+					line, err := json.Marshal(wire)
+					if err != nil {
+						return eris.Wrap(err, "encode result")
+					}
+					fmt.Println(string(line))
+				}
+			}
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&programs, "programs", "bin", "folder with cardd and cardfake")
+	flags.Float64SliceVar(&factors, "factor", []float64{0.5, 2, 10}, "load as a multiple of capacity")
+	flags.StringSliceVar(&policies, "policy", []string{"deadline", "fifo", "edf"}, "admission policies")
+	flags.IntVar(&seconds, "seconds", 20, "seconds of load")
+	flags.Uint64Var(&seed, "seed", 1, "seed")
+	return command
+}
+
+func overload(ctx context.Context, programs, policy string, factor float64, seconds int, seed uint64) (*overloadWire, error) {
+	deployment, err := fleet.Load("examples/overload/deployment.jsonc")
+	if err != nil {
+		return nil, err
+	}
+	count := int(factor * overloadCapacity * float64(seconds))
+	s := &scenario{deployment: deployment, wire: scenarioWire{
+		Seed: seed, LimitS: int64(seconds) + 60,
+		Settings: map[string]any{"requests": map[string]any{"admission": policy}, "log_level": "warn"},
+		Load: []loadWire{
+			{Name: "warm", Count: 8, Tokens: overloadTokens, DeadlineMS: overloadWarmMS},
+			{Name: "load", Count: count, StartMS: overloadWarmMS, OverMS: int64(seconds) * time.Second.Milliseconds(), Tokens: overloadTokens, StreamShare: 1, DeadlineMS: overloadDeadlineMS},
+		},
+	}}
+	r, err := s.run(ctx, programs, "")
+	if err != nil {
+		return nil, err
+	}
+	load := r.Series["load"]
+	served := load.Outcomes["served"] - load.Late
+	return &overloadWire{
+		Policy: policy, Factor: factor, Sent: count, Served: served,
+		Goodput: float64(served) / (overloadCapacity * float64(seconds)), Ends: load.Outcomes,
+		FirstMS: load.FirstP99, Late: load.Late, NoWord: load.NoWord,
+	}, nil
+}
--- /dev/null
+++ b/cmd/cardload/slope.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 12 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+)
+
+// slope is a cost measured over several sizes with its straight line.
+type slope struct {
+	Name    string    `json:"name"`
+	Unit    string    `json:"unit"`
+	Per     string    `json:"per"`
+	Sizes   []float64 `json:"sizes"`
+	Values  []float64 `json:"values"`
+	Base    float64   `json:"base"`
+	Each    float64   `json:"each"`
+	Squared float64   `json:"r_squared"`
+}
+
+// newSlope measures at each size and fits the line.
+func newSlope(name, unit, per string, sizes []float64, measure func(size int) (float64, error)) (*slope, error) {
+	s := &slope{Name: name, Unit: unit, Per: per, Sizes: sizes}
+	for _, size := range sizes {
+		value, err := measure(int(size))
+		if err != nil {
+			return nil, eris.Wrapf(err, "measure %s at %g", name, size)
+		}
+		s.Values = append(s.Values, value)
+	}
+	s.Base, s.Each = stat.LinearRegression(s.Sizes, s.Values, nil, false)
+	s.Squared = stat.RSquared(s.Sizes, s.Values, nil, s.Base, s.Each)
+	return s, nil
+}
+
+// at returns the line's value at a size.
+func (s *slope) at(size float64) float64 { return s.Base + s.Each*size }
+
+// last returns the value measured at the greatest size.
+func (s *slope) last() float64 { return s.Values[len(s.Values)-1] }
+
+// save writes the data and the plot.
+func (s *slope) save(folder string) error {
+	body, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode slope")
+	}
+	if err := os.WriteFile(filepath.Join(folder, s.Name+".json"), append(body, '\n'), 0o644); err != nil {
+		return eris.Wrap(err, "write slope")
+	}
+	return s.plot(filepath.Join(folder, s.Name+".svg"))
+}
+
+func (s *slope) plot(path string) error {
+	p := plot.New()
+	p.Title.Text = s.Name
+	p.X.Label.Text = s.Per
+	p.Y.Label.Text = s.Unit
+	p.Y.Min = 0
+	points := make(plotter.XYs, len(s.Sizes))
+	for i := range s.Sizes {
+		points[i].X, points[i].Y = s.Sizes[i], s.Values[i]
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return eris.Wrap(err, "plot points")
+	}
+	p.Add(scatter, plotter.NewFunction(func(x float64) float64 { return s.at(x) }), plotter.NewGrid())
+	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "save plot")
+}
+
+// microseconds returns the time of one call, as the benchmark harness finds it.
+func microseconds(call func()) float64 {
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			call()
+		}
+	})
+	return float64(result.T.Nanoseconds()) / float64(result.N) / 1000
+}
+
+// row is one line of a slope table.
+func (s *slope) row() string {
+	return fmt.Sprintf("| [%s](capacity/%s.json) | %s to %s %s | %s %s + %s per %s | %.3f | [plot](capacity/%s.svg) |",
+		s.Name, s.Name, short(s.Sizes[0]), short(s.Sizes[len(s.Sizes)-1]), s.Per, short(s.Base), s.Unit, short(s.Each), s.Per, s.Squared, s.Name)
+}
+
+func short(value float64) string { return fmt.Sprintf("%.3g", value) }
--- /dev/null
+++ b/cmd/cardload/slopes_fleet.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/fakes/fleet"
+)
+
+// idleSpan is how long a fleet without callers is watched.
+const idleSpan = 8 * time.Second
+
+// idleCost is what one instance spends on control without callers.
+type idleCost struct {
+	cpu      float64 // percent of a core
+	resident float64 // MB
+	bytes    float64 // KB a second, to and from peers
+	reads    float64 // reads of the table a second, of all instances
+}
+
+// fleetCosts caches one measurement of each size for several slopes.
+type fleetCosts struct {
+	ctx      context.Context
+	programs string
+	costs    map[int]idleCost
+}
+
+func (c *fleetCosts) at(instances int) (idleCost, error) {
+	if cost, ok := c.costs[instances]; ok {
+		return cost, nil
+	}
+	cost, err := measureIdle(c.ctx, c.programs, instances)
+	if err == nil {
+		c.costs[instances] = cost
+	}
+	return cost, err
+}
+
+func (c *fleetCosts) of(part func(idleCost) float64) func(int) (float64, error) {
+	return func(instances int) (float64, error) {
+		cost, err := c.at(instances)
+		return part(cost), err
+	}
+}
+
+func measureIdle(ctx context.Context, programs string, instances int) (idleCost, error) {
+	deployment, err := fleet.Load("examples/small/deployment.jsonc")
+	if err != nil {
+		return idleCost{}, err
+	}
+	deployment.SetInstances(map[string]int{"north": instances / 2, "south": instances - instances/2})
+	folder, err := os.MkdirTemp("", "cardload-*")
+	if err != nil {
+		return idleCost{}, eris.Wrap(err, "make folder")
+	}
+	defer os.RemoveAll(folder)
+	f, err := fleet.Start(ctx, fleet.Options{Deployment: deployment, Programs: programs, Folder: folder, LogLevel: "warn"})
+	if err != nil {
+		return idleCost{}, err
+	}
+	defer f.Stop()
+	if !wait(ctx, 4*time.Second) {
+		return idleCost{}, ctx.Err()
+	}
+	before, err := sample(f, deployment)
+	if err != nil {
+		return idleCost{}, err
+	}
+	if !wait(ctx, idleSpan) {
+		return idleCost{}, ctx.Err()
+	}
+	after, err := sample(f, deployment)
+	if err != nil {
+		return idleCost{}, err
+	}
+	seconds, count := idleSpan.Seconds(), float64(instances)
+	return idleCost{
+		cpu:      100 * (after.cpu - before.cpu) / seconds / count,
+		resident: after.resident / count,
+		// A call's bytes are counted at its caller and spent at both ends.
+		bytes: 2 * (after.bytes - before.bytes) / 1000 / seconds / count,
+		reads: (after.reads - before.reads) / seconds,
+	}, nil
+}
+
+type varsWire struct {
+	Sent     int64 `json:"peer_bytes_sent"`
+	Received int64 `json:"peer_bytes_received"`
+}
+
+// sample sums processor seconds, resident MB, peer bytes and table reads.
+func sample(f *fleet.Fleet, deployment *fleet.Deployment) (idleCost, error) {
+	var sum idleCost
+	for _, instance := range deployment.Instances() {
+		cpu, err := f.CPU(instance.ID)
+		if err != nil {
+			return sum, err
+		}
+		resident, err := f.Resident(instance.ID)
+		if err != nil {
+			return sum, err
+		}
+		vars, err := readVars(f.Caller(instance.ID))
+		if err != nil {
+			return sum, err
+		}
+		sum.cpu += cpu.Seconds()
+		sum.resident += float64(resident) / 1e6
+		sum.bytes += float64(vars.Sent + vars.Received)
+	}
+	counts, err := f.TableCounts()
+	sum.reads = float64(counts.Reads)
+	return sum, err
+}
+
+func readVars(address string) (varsWire, error) {
+	var vars varsWire
+	response, err := http.Get("http://" + address + "/debug/vars")
+	if err != nil {
+		return vars, eris.Wrap(err, "read vars")
+	}
+	defer response.Body.Close()
+	return vars, eris.Wrap(json.NewDecoder(response.Body).Decode(&vars), "decode vars")
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -38,6 +38,7 @@
 	maxBody       int64
 	addressTTL    time.Duration
 	drain         time.Duration
+	admission     string
 	claimShards   int
 	claimKeep     time.Duration
 	logLevel      string
@@ -85,6 +86,9 @@
 // Drain returns how long a shutdown waits for requests in progress.
 func (s *Settings) Drain() time.Duration { return s.drain }
 
+// Admission returns the name of the admission policy.
+func (s *Settings) Admission() string { return s.admission }
+
 // ClaimShards returns over how many shards the keys are spread.
 func (s *Settings) ClaimShards() int { return s.claimShards }
 
@@ -124,11 +128,12 @@
 		TimeoutMS int64 `json:"timeout_ms"`
 	} `json:"engines"`
 	Requests struct {
-		MaxBodyKB    int64 `json:"max_body_kb"`
-		AddressTTLMS int64 `json:"address_ttl_ms"`
-		DrainMS      int64 `json:"drain_ms"`
-		ClaimShards  int   `json:"claim_shards"`
-		ClaimKeepMS  int64 `json:"claim_keep_ms"`
+		MaxBodyKB    int64  `json:"max_body_kb"`
+		AddressTTLMS int64  `json:"address_ttl_ms"`
+		DrainMS      int64  `json:"drain_ms"`
+		Admission    string `json:"admission"`
+		ClaimShards  int    `json:"claim_shards"`
+		ClaimKeepMS  int64  `json:"claim_keep_ms"`
 	} `json:"requests"`
 	LogLevel string `json:"log_level"`
 	Trace    struct {
@@ -150,6 +155,7 @@
 	defaultMaxBodyKB         = 1024
 	defaultAddressTTLMS      = 5000
 	defaultDrainMS           = 30000
+	defaultAdmission         = "deadline"
 	defaultClaimShards       = 8
 	defaultClaimKeepMS       = 600000
 	defaultLogLevel          = "info"
@@ -213,6 +219,7 @@
 		maxBody:       or(w.Requests.MaxBodyKB, defaultMaxBodyKB) * bytesPerKB,
 		addressTTL:    millis(w.Requests.AddressTTLMS, defaultAddressTTLMS),
 		drain:         millis(w.Requests.DrainMS, defaultDrainMS),
+		admission:     or(w.Requests.Admission, defaultAdmission),
 		claimShards:   or(w.Requests.ClaimShards, defaultClaimShards),
 		claimKeep:     millis(w.Requests.ClaimKeepMS, defaultClaimKeepMS),
 		logLevel:      or(w.LogLevel, defaultLogLevel),
--- a/fakes/complete.go
+++ b/fakes/complete.go
@@ -87,6 +87,9 @@
 	defer r.mu.Unlock()
 	s.waiting--
 	s.running++
+	if s.running == 1 {
+		s.busy = time.Now()
+	}
 }
 
 func (r *Runner) end(s *seated) {
@@ -94,6 +97,9 @@
 	defer r.mu.Unlock()
 	s.running--
 	s.waiting++
+	if s.running == 0 {
+		go r.side.tell(EventWire{Kind: "busy", Seconds: time.Since(s.busy).Seconds()})
+	}
 }
 
 func (r *Runner) leave(s *seated) {
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -46,9 +46,11 @@
 	wire    engine.LoadedWire
 	running int
 	waiting int
-	until   time.Time
-	cancel  context.CancelFunc
-	ended   context.Context
+	// busy is since when requests have been in progress.
+	busy   time.Time
+	until  time.Time
+	cancel context.CancelFunc
+	ended  context.Context
 }
 
 // Runner is a model engine.
--- a/keep/history.go
+++ b/keep/history.go
@@ -21,6 +21,11 @@
 type History struct {
 	counts  [buckets]float64
 	lastUse time.Time
+
+	// plan is the newest plan, kept until another gap is seen.
+	plan    Plan
+	price   time.Duration
+	planned bool
 }
 
 // LastUse returns when the model was last in use.
@@ -35,6 +40,7 @@
 			h.counts[i] *= forget
 		}
 		h.counts[bucketOf(gap)]++
+		h.planned = false
 	}
 	if now.After(h.lastUse) {
 		h.lastUse = now
--- a/node/provide.go
+++ b/node/provide.go
@@ -56,8 +56,8 @@
 
 func provideViews(settings *conf.Settings) *route.Holder { return route.NewHolder(settings.Instance()) }
 
-func provideDesk(board *switchboard) *admit.Desk {
-	return admit.New(func(cell cardamom.CellID) { board.loop.Demand(cell) })
+func provideDesk(settings *conf.Settings, board *switchboard) *admit.Desk {
+	return admit.New(admit.Lookup(settings.Admission()), func(cell cardamom.CellID) { board.loop.Demand(cell) })
 }
 
 func provideLoop(
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -23,7 +23,7 @@
 	http := provideEngines(settings)
 	dialer := provideDialer()
 	nodeSwitchboard := newSwitchboard()
-	desk := provideDesk(nodeSwitchboard)
+	desk := provideDesk(settings, nodeSwitchboard)
 	holder := provideViews(settings)
 	ledger := poison.New()
 	registry := claim.NewRegistry()
