--- a/cmd/cardload/storm.go
+++ b/cmd/cardload/storm.go
@@ -51,10 +51,7 @@
 	command := &cobra.Command{
 		Use: "storm", Short: "Run seeded series of random faults", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			wire, err := runStorms(command.Context(), paths, programs, seed, runs, parallel)
-			if err != nil {
-				return err
-			}
+			wire := runStorms(command.Context(), paths, programs, seed, runs, parallel)
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
 				return eris.Wrap(err, "encode result")
@@ -75,7 +72,7 @@
 	return command
 }
 
-func runStorms(ctx context.Context, paths []string, programs string, seed uint64, runs, parallel int) (*stormWire, error) {
+func runStorms(ctx context.Context, paths []string, programs string, seed uint64, runs, parallel int) *stormWire {
 	wire := &stormWire{Outcomes: make(map[string]int), Faults: make(map[string]int)}
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -96,7 +93,7 @@
 	}
 	close(seeds)
 	all.Wait()
-	return wire, nil
+	return wire
 }
 
 func (w *stormWire) add(seed uint64, s *scenario, r *report, err error) {
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -41,6 +41,7 @@
 	admission     string
 	claimShards   int
 	claimKeep     time.Duration
+	tls           TLS
 	logLevel      string
 	traceURL      string
 	traceFile     string
@@ -95,6 +96,9 @@
 // ClaimKeep returns how long a key is remembered after its request ended.
 func (s *Settings) ClaimKeep() time.Duration { return s.claimKeep }
 
+// TLS returns how instances know each other.
+func (s *Settings) TLS() TLS { return s.tls }
+
 // LogLevel returns the least level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
@@ -107,6 +111,26 @@
 // TraceShare returns the share of new traces that is recorded, 0 to 1.
 func (s *Settings) TraceShare() float64 { return s.traceShare }
 
+// TLS names the files with which instances prove themselves to each other.
+type TLS struct {
+	off         bool
+	certificate string
+	key         string
+	authority   string
+}
+
+// Off tells that peers are not checked.
+func (t TLS) Off() bool { return t.off }
+
+// Certificate returns the PEM file of this instance's certificate.
+func (t TLS) Certificate() string { return t.certificate }
+
+// Key returns the PEM file of the certificate's key.
+func (t TLS) Key() string { return t.key }
+
+// Authority returns the PEM file of the authority that peers are checked against.
+func (t TLS) Authority() string { return t.authority }
+
 type settingsWire struct {
 	Instance      string `json:"instance"`
 	Place         string `json:"place"`
@@ -135,6 +159,12 @@
 		ClaimShards  int    `json:"claim_shards"`
 		ClaimKeepMS  int64  `json:"claim_keep_ms"`
 	} `json:"requests"`
+	TLS struct {
+		Off         bool   `json:"off"`
+		Certificate string `json:"certificate"`
+		Key         string `json:"key"`
+		Authority   string `json:"authority"`
+	} `json:"tls"`
 	LogLevel string `json:"log_level"`
 	Trace    struct {
 		OTLPURL string   `json:"otlp_url"`
@@ -192,6 +222,10 @@
 	if s.suspect < 3*s.exchange {
 		source.Faultf([]string{"peers", "suspect_ms"}, "must be at least three times exchange_ms (%v)", s.exchange)
 	}
+	files := s.tls.certificate != "" && s.tls.key != "" && s.tls.authority != ""
+	if s.tls.off == files {
+		source.Faultf([]string{"tls"}, "needs certificate, key and authority, or off: true")
+	}
 	if s.instance.CallerAddress == s.instance.PeerAddress {
 		source.Faultf([]string{"peer_address"}, "must differ from caller_address")
 	}
@@ -222,10 +256,13 @@
 		admission:     or(w.Requests.Admission, defaultAdmission),
 		claimShards:   or(w.Requests.ClaimShards, defaultClaimShards),
 		claimKeep:     millis(w.Requests.ClaimKeepMS, defaultClaimKeepMS),
-		logLevel:      or(w.LogLevel, defaultLogLevel),
-		traceURL:      w.Trace.OTLPURL,
-		traceFile:     w.Trace.File,
-		traceShare:    share,
+		tls: TLS{
+			off: w.TLS.Off, certificate: w.TLS.Certificate, key: w.TLS.Key, authority: w.TLS.Authority,
+		},
+		logLevel:   or(w.LogLevel, defaultLogLevel),
+		traceURL:   w.Trace.OTLPURL,
+		traceFile:  w.Trace.File,
+		traceShare: share,
 	}
 }
 
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -210,7 +210,7 @@
 	settings := map[string]any{
 		"instance": instance.ID, "place": instance.Place, "caller_address": caller, "peer_address": peer,
 		"platform": map[string]any{"table": f.front("table", f.platform.Table), "list": f.front("list", f.platform.List)},
-		"trace":    map[string]any{"share": 0}, "log_level": or(f.options.LogLevel, "info"),
+		"trace":    map[string]any{"share": 0}, "tls": map[string]any{"off": true}, "log_level": or(f.options.LogLevel, "info"),
 	}
 	for key, value := range f.options.Extra {
 		settings[key] = value
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	dialer := link.NewDialer(timeout)
+//	dialer := link.NewDialer(timeout, keeper)
 //	reply, err := dialer.Dial("127.0.0.1:7201").Exchange(ctx, digest)
 //
 //	handler := link.Handler(link.NewServer(loop, claims, views))
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"cardamomcourse.example/cardamom/certs"
 	"cardamomcourse.example/cardamom/peerpb"
 )
 
@@ -25,13 +26,21 @@
 	http    *http.Client
 	meter   *Meter
 	clients map[string]peerpb.Peer
+	scheme  string
 }
 
-// NewDialer returns a dialer whose calls last at most timeout.
-func NewDialer(timeout time.Duration) *Dialer {
+// NewDialer returns a dialer whose calls last at most timeout. Without a
+// keeper peers are not checked.
+func NewDialer(timeout time.Duration, keeper *certs.Keeper) *Dialer {
 	meter := &Meter{}
 	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DialContext: meter.DialContext}
+	scheme := "http://"
+	if keeper != nil {
+		scheme = "https://"
+		transport.TLSClientConfig = keeper.Client()
+	}
 	return &Dialer{
+		scheme:  scheme,
 		meter:   meter,
 		http:    &http.Client{Timeout: timeout, Transport: transport},
 		clients: make(map[string]peerpb.Peer),
@@ -47,7 +56,7 @@
 	defer d.mu.Unlock()
 	client, ok := d.clients[address]
 	if !ok {
-		client = peerpb.NewPeerProtobufClient("http://"+address, d.http)
+		client = peerpb.NewPeerProtobufClient(d.scheme+address, d.http)
 		d.clients[address] = client
 	}
 	return client
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"cardamomcourse.example/cardamom/admit"
+	"cardamomcourse.example/cardamom/certs"
 	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/ctrl"
 	"cardamomcourse.example/cardamom/entry"
@@ -49,13 +51,14 @@
 	callers  *http.Server
 	peers    *http.Server
 	tracer   *trace.Tracer
+	keeper   *certs.Keeper
 	logger   hclog.Logger
 	draining atomic.Bool
 }
 
 // New returns an instance that has not started.
-func New(settings *conf.Settings, loop *ctrl.Loop, desk *admit.Desk, callers *entry.Server, peers *link.Server, tracer *trace.Tracer, logger hclog.Logger) *Node {
-	n := &Node{settings: settings, loop: loop, desk: desk, tracer: tracer, logger: logger}
+func New(settings *conf.Settings, loop *ctrl.Loop, desk *admit.Desk, callers *entry.Server, peers *link.Server, tracer *trace.Tracer, keeper *certs.Keeper, logger hclog.Logger) *Node {
+	n := &Node{settings: settings, loop: loop, desk: desk, tracer: tracer, keeper: keeper, logger: logger}
 	n.callers = &http.Server{Handler: n.closing(callers.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.peers = &http.Server{Handler: link.Handler(peers), ReadHeaderTimeout: headerTimeout}
 	return n
@@ -83,6 +86,9 @@
 		_ = callerListener.Close()
 		return eris.Wrap(err, "listen for peers")
 	}
+	if n.keeper != nil {
+		peerListener = tls.NewListener(peerListener, n.keeper.Server())
+	}
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	done := n.tree(callerListener, peerListener).ServeBackground(runCtx)
--- a/node/provide.go
+++ b/node/provide.go
@@ -8,6 +8,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/admit"
+	"cardamomcourse.example/cardamom/certs"
 	"cardamomcourse.example/cardamom/claim"
 	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/ctrl"
@@ -26,7 +27,7 @@
 
 // Set provides all parts of an instance.
 var Set = wire.NewSet(
-	provideIncarnation, provideStore, provideLister, provideEngines, provideDialer, provideViews,
+	provideIncarnation, provideStore, provideLister, provideEngines, provideDialer, provideKeeper, provideViews,
 	provideDesk, provideLoop, provideTracer, provideMetrics, provideEntry, provideLinkServer, provideLinkClaims,
 	poison.New, claim.NewRegistry, newSwitchboard, New,
 )
@@ -52,7 +53,16 @@
 	return engine.NewHTTP(settings.EngineTimeout())
 }
 
-func provideDialer() *link.Dialer { return link.NewDialer(peerTimeout) }
+func provideDialer(keeper *certs.Keeper) *link.Dialer { return link.NewDialer(peerTimeout, keeper) }
+
+// provideKeeper returns nil if the settings switch TLS off.
+func provideKeeper(settings *conf.Settings) (*certs.Keeper, error) {
+	files := settings.TLS()
+	if files.Off() {
+		return nil, nil
+	}
+	return certs.Load(files.Certificate(), files.Key(), files.Authority())
+}
 
 func provideViews(settings *conf.Settings) *route.Holder { return route.NewHolder(settings.Instance()) }
 
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -21,7 +21,11 @@
 	store := provideStore(settings)
 	lister := provideLister(settings)
 	http := provideEngines(settings)
-	dialer := provideDialer()
+	keeper, err := provideKeeper(settings)
+	if err != nil {
+		return nil, err
+	}
+	dialer := provideDialer(keeper)
 	nodeSwitchboard := newSwitchboard()
 	desk := provideDesk(settings, nodeSwitchboard)
 	holder := provideViews(settings)
@@ -36,6 +40,6 @@
 	metrics := provideMetrics(desk, holder, dialer, http)
 	server := provideEntry(settings, incarnation, holder, desk, claims, http, ledger, tracer, metrics, logger)
 	linkServer := provideLinkServer(settings, loop, registry, holder)
-	node := New(settings, loop, desk, server, linkServer, tracer, logger)
+	node := New(settings, loop, desk, server, linkServer, tracer, keeper, logger)
 	return node, nil
 }
--- a/proof/suite_test.go
+++ b/proof/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -48,18 +49,22 @@
 	folder     string
 }
 
-func startSite(file string) *site {
+func startSite(file string) *site { return startSiteWith(file, nil) }
+
+// startSiteWith starts a site whose instances have further settings.
+func startSiteWith(file string, extra map[string]any) *site {
 	deployment, err := fleet.Load("../examples/small/" + file)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithTimeout(context.Background(), specLimit)
 	DeferCleanup(cancel)
 	s := &site{ctx: ctx, deployment: deployment, folder: GinkgoT().TempDir()}
+	settings := map[string]any{
+		"peers":   map[string]any{"exchange_ms": 100, "suspect_ms": 1000},
+		"engines": map[string]any{"report_ms": 50, "timeout_ms": 500},
+	}
+	maps.Copy(settings, extra)
 	s.Fleet, err = fleet.Start(ctx, fleet.Options{
-		Deployment: deployment, Programs: programs, Folder: s.folder, Proxied: true,
-		Extra: map[string]any{
-			"peers":   map[string]any{"exchange_ms": 100, "suspect_ms": 1000},
-			"engines": map[string]any{"report_ms": 50, "timeout_ms": 500},
-		},
+		Deployment: deployment, Programs: programs, Folder: s.folder, Proxied: true, Extra: settings,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Stop)
@@ -122,6 +127,9 @@
 // status is the part of an instance's status that the specs look at.
 type status struct {
 	Revision uint64 `json:"revision"`
+	Cells    []struct {
+		Cell string `json:"cell"`
+	} `json:"cells"`
 	Claims   []struct {
 		Resource string `json:"resource"`
 		Holder   string `json:"holder"`
