Put a revision into force once a peer has it

Cause: an instance that alone had read a revision and was replaced before its next digest, with the table down, would come back on the one before. Change: a revision read from the table is offered first and in force when a peer has it, or after 3 s if none can be reached.

--- a/ctrl/gossip.go
+++ b/ctrl/gossip.go
@@ -82,6 +82,9 @@
 		l.holdChanged(resource, now)
 	}
 	l.options.Ledger.Merge(suspects(e.digest), now)
+	if l.offered != nil && cardamom.Revision(e.digest.GetRevision()) >= l.offered.Revision() {
+		l.enforce(now)
+	}
 	l.fetch(e.digest)
 	l.dirty = true
 	if e.reply != nil {
@@ -100,7 +103,7 @@
 // fetch gets a newer profile document from the digest's sender.
 func (l *Loop) fetch(digest *peerpb.Digest) {
 	revision := cardamom.Revision(digest.GetRevision())
-	if revision <= l.revision() || revision <= l.fetching {
+	if revision <= l.known() || revision <= l.fetching {
 		return
 	}
 	address := l.peerAddress(cardamom.InstanceID(digest.GetFrom()))
@@ -109,7 +112,7 @@
 	}
 	l.fetching = revision
 	client := l.options.Dialer.Dial(address)
-	have := uint64(l.revision())
+	have := uint64(l.known())
 	l.start(func(ctx context.Context) event {
 		limited, cancel := context.WithTimeout(ctx, l.options.Settings.TableTimeout())
 		defer cancel()
@@ -122,7 +125,9 @@
 			l.options.Logger.Error("profile_unreadable", "revision", reply.GetRevision(), "error", err)
 			return documentRead{tried: revision}
 		}
-		l.adopt(ctx, cardamom.Revision(reply.GetRevision()), document, reply.GetEdit(), reply.GetEditor())
+		l.adopt(ctx, revs.Revision{
+			Number: cardamom.Revision(reply.GetRevision()), Document: document, Edit: reply.GetEdit(), Editor: reply.GetEditor(),
+		}, true)
 		return documentRead{tried: revision}
 	})
 }
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -90,6 +90,9 @@
 	peers     *peers.State
 	witness   *hold.Witness
 	published *policy.Published
+	// offered is a newer document that no peer is known to have yet.
+	offered   *policy.Published
+	offeredAt time.Time
 	list      *roster.List
 	cells     map[hold.Resource]*heldCell
 	shards    map[hold.Resource]*heldShard
@@ -172,7 +175,8 @@
 func (l *Loop) tick(now time.Time) {
 	if now.Sub(l.beaten) >= l.options.Settings.Exchange() {
 		l.beaten = now
-		l.peers.Beat(l.revision(), now)
+		l.enforceDue(now)
+		l.peers.Beat(l.known(), now)
 		l.exchange(now)
 		l.dirty = true
 	}
@@ -186,6 +190,14 @@
 	}
 }
 
+// known returns the newest revision this instance has, in force or offered.
+func (l *Loop) known() cardamom.Revision {
+	if l.offered != nil {
+		return l.offered.Revision()
+	}
+	return l.revision()
+}
+
 func (l *Loop) revision() cardamom.Revision {
 	if l.published == nil {
 		return 0
@@ -201,7 +213,7 @@
 	l.dirty = false
 	now := time.Now()
 	view := &route.View{
-		Self: l.options.Settings.Instance(), Published: l.published, Active: l.peers.Active(now),
+		Self: l.options.Settings.Instance(), Published: l.published, Offered: l.offered, Active: l.peers.Active(now),
 		Follows: make(map[cardamom.CellID]map[cardamom.ModelID][]cells.Replica, len(l.follows)),
 		Plain:   l.plain(), Issue: l.peers.Newest(), Unready: l.unready(), Leaving: l.leaving,
 	}
--- a/ctrl/platform.go
+++ b/ctrl/platform.go
@@ -25,8 +25,13 @@
 type documentRead struct {
 	published *policy.Published
 	tried     cardamom.Revision
+	// shared tells that another instance has the document too.
+	shared bool
 }
 
+// offerLimit is how long a document that no peer is known to have is held back.
+const offerLimit = 3 * time.Second
+
 // startReaders polls the platform beside the loop.
 func (l *Loop) startReaders() {
 	go l.every(l.readList)
@@ -115,38 +120,57 @@
 		l.options.Logger.Warn("profile_unreadable", "revision", head.Number, "error", err)
 		return
 	}
-	l.adopt(ctx, revision.Number, revision.Document, revision.Edit, revision.Editor)
+	l.adopt(ctx, revision, false)
 }
 
-// knownRevision returns the revision in force, as the view tells it.
+// knownRevision returns the newest revision known, as the view tells it.
 func (l *Loop) knownRevision() cardamom.Revision {
-	if published := l.options.Views.Load().Published; published != nil {
-		return published.Revision()
+	if newest := l.options.Views.Load().Newest(); newest != nil {
+		return newest.Revision()
 	}
 	return 0
 }
 
 // adopt parses a document and hands it to the loop.
-func (l *Loop) adopt(ctx context.Context, revision cardamom.Revision, body []byte, edit, editor string) {
-	document, err := policy.Parse("published", body)
+func (l *Loop) adopt(ctx context.Context, revision revs.Revision, shared bool) {
+	document, err := policy.Parse("published", revision.Document)
 	if err != nil {
-		l.options.Logger.Error("profile_invalid", "revision", revision, "error", err)
+		l.options.Logger.Error("profile_invalid", "revision", revision.Number, "error", err)
 		return
 	}
-	_ = l.post(ctx, documentRead{published: policy.NewPublished(revision, document, body, edit, editor), tried: revision})
+	published := policy.NewPublished(revision.Number, document, revision.Document, revision.Edit, revision.Editor)
+	_ = l.post(ctx, documentRead{published: published, tried: revision.Number, shared: shared})
 }
 
 func (e documentRead) apply(l *Loop, now time.Time) {
 	if l.fetching == e.tried {
 		l.fetching = 0
 	}
-	if e.published == nil || e.published.Revision() <= l.revision() {
+	if e.published == nil || e.published.Revision() <= l.known() {
 		return
 	}
-	l.published = e.published
-	l.options.Logger.Info("profile_in_force", "revision", e.published.Revision(), "edit", e.published.Edit())
+	l.offered, l.offeredAt = e.published, now
+	l.beaten = time.Time{}
+	l.dirty = true
+	if e.shared {
+		l.enforce(now)
+	}
+}
+
+// enforceDue puts an offered document into force when no peer could take it.
+func (l *Loop) enforceDue(now time.Time) {
+	alone := len(l.peers.Active(now)) < 2
+	if l.offered != nil && (alone || now.Sub(l.offeredAt) > offerLimit) {
+		l.enforce(now)
+	}
+}
+
+// enforce puts the offered document into force.
+func (l *Loop) enforce(now time.Time) {
+	l.published, l.offered = l.offered, nil
+	l.options.Logger.Info("profile_in_force", "revision", l.published.Revision(), "edit", l.published.Edit())
 	for _, held := range l.cells {
-		held.cell.Publish(e.published.Document())
+		held.cell.Publish(l.published.Document())
 	}
 	l.lookAtHolds(now)
 	l.syncFollows(now)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	cardamom "cardamomcourse.example/cardamom"
-	"cardamomcourse.example/cardamom/peers"
 	"cardamomcourse.example/cardamom/policy"
 )
 
@@ -31,7 +30,7 @@
 		return
 	}
 	defer result.response.Body.Close()
-	s.pass(ctx, w, result.response, member)
+	s.pass(ctx, w, result.response)
 }
 
 func (s *Server) forwardHeader(ctx context.Context, r *http.Request, req *request) http.Header {
@@ -51,7 +50,7 @@
 
 // pass relays the other instance's response. A stream that breaks off is
 // closed with the word that it may have run.
-func (s *Server) pass(ctx context.Context, w http.ResponseWriter, response *http.Response, _ peers.Member) {
+func (s *Server) pass(ctx context.Context, w http.ResponseWriter, response *http.Response) {
 	if response.Header.Get("Content-Type") == "text/event-stream" {
 		s.passStream(ctx, w, response)
 		return
--- a/link/server.go
+++ b/link/server.go
@@ -94,7 +94,7 @@
 
 // Fetch implements peerpb.Peer.
 func (s *Server) Fetch(_ context.Context, request *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	published := s.views.Load().Published
+	published := s.views.Load().Newest()
 	if published == nil || uint64(published.Revision()) <= request.GetHave() {
 		return &peerpb.FetchReply{}, nil
 	}
--- a/proof/suite_test.go
+++ b/proof/suite_test.go
@@ -130,7 +130,7 @@
 	Cells    []struct {
 		Cell string `json:"cell"`
 	} `json:"cells"`
-	Claims   []struct {
+	Claims []struct {
 		Resource string `json:"resource"`
 		Holder   string `json:"holder"`
 		Witness  string `json:"witness"`
--- a/route/view.go
+++ b/route/view.go
@@ -28,6 +28,8 @@
 	Self cardamom.Instance
 	// Published is the profile document in force, nil before the first.
 	Published *policy.Published
+	// Offered is a newer document that is not in force yet, nil if there is none.
+	Offered *policy.Published
 	// Active are the members that take callers, in order of name.
 	Active []peers.Member
 	// Follows gives the replicas of the cells this instance follows.
@@ -64,6 +66,14 @@
 // Store makes a view the newest.
 func (h *Holder) Store(view *View) { h.view.Store(view) }
 
+// Newest returns the newest document known, in force or offered.
+func (v *View) Newest() *policy.Published {
+	if v.Offered != nil {
+		return v.Offered
+	}
+	return v.Published
+}
+
 // Model returns the model of that name in force.
 func (v *View) Model(id cardamom.ModelID) (*policy.Model, bool) {
 	if v.Published == nil {
