Wait in one place, start temporary fleets in one place

Cause: the same timer loop stood in 6 files and the same start of a fleet in 3. Change: package pause; startFleet.

--- a/cmd/cardd/dev.go
+++ b/cmd/cardd/dev.go
@@ -5,7 +5,6 @@
 	_ "embed"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"time"
 
@@ -17,8 +16,10 @@
 	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/fakes"
 	"cardamomcourse.example/cardamom/fakes/caller"
+	"cardamomcourse.example/cardamom/fakes/fleet"
 	"cardamomcourse.example/cardamom/logs"
 	"cardamomcourse.example/cardamom/node"
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/policy"
 	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/roster"
@@ -35,6 +36,8 @@
 	devPlace = "dev"
 	// devTokens is the length of each answer.
 	devTokens = 12
+	// devPause is the pause between two tries while the instances start.
+	devPause = 50 * time.Millisecond
 	// barWidth is the width in characters of the longest bar.
 	barWidth = 50
 )
@@ -149,11 +152,11 @@
 }
 
 func devSettings(n int, platform *fakes.Platform) (*conf.Settings, error) {
-	callers, err := freeAddress()
+	callers, err := fleet.FreePort()
 	if err != nil {
 		return nil, err
 	}
-	peers, err := freeAddress()
+	peers, err := fleet.FreePort()
 	if err != nil {
 		return nil, err
 	}
@@ -165,15 +168,6 @@
 	return conf.Parse("dev", []byte(text))
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find free port")
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // shown is one request of the demonstration.
 type shown struct {
 	title  string
@@ -223,11 +217,7 @@
 		if result.Reason != "no-address" || ctx.Err() != nil || model == "nobody" {
 			return result
 		}
-		timer := time.NewTimer(50 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+		pause.For(ctx, devPause)
 	}
 }
 
--- a/cmd/cardload/fault.go
+++ b/cmd/cardload/fault.go
@@ -5,15 +5,17 @@
 	"fmt"
 	"os"
 	"time"
+
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // fault brings about one fault of the scenario at its times.
 func (e *experiment) fault(ctx context.Context, wire faultWire) {
-	if !wait(ctx, time.Duration(wire.AtMS)*time.Millisecond) {
+	if !pause.For(ctx, time.Duration(wire.AtMS)*time.Millisecond) {
 		return
 	}
 	for n := range max(wire.Times, 1) {
-		if n > 0 && !wait(ctx, time.Duration(wire.EveryMS)*time.Millisecond) {
+		if n > 0 && !pause.For(ctx, time.Duration(wire.EveryMS)*time.Millisecond) {
 			return
 		}
 		if err := e.bringAbout(wire); err != nil {
--- a/cmd/cardload/frontier.go
+++ b/cmd/cardload/frontier.go
@@ -15,6 +15,7 @@
 
 	"cardamomcourse.example/cardamom/fakes/caller"
 	"cardamomcourse.example/cardamom/fakes/fleet"
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // point is one keep-alive setting of the frontier.
@@ -233,7 +234,7 @@
 		request := caller.Request{Model: a.model, Prompt: fmt.Sprintf("arrival %d", n), Tokens: 8, Stream: true, Deadline: 20 * time.Second}
 		from := e.callers[n%len(e.callers)]
 		all.Go(func() {
-			if wait(ctx, a.at) {
+			if pause.For(ctx, a.at) {
 				e.report.add("all", request, from.Do(ctx, request))
 			}
 		})
--- a/cmd/cardload/overhead.go
+++ b/cmd/cardload/overhead.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -100,16 +99,11 @@
 	if err != nil {
 		return nil, err
 	}
-	folder, err := os.MkdirTemp("", "cardload-*")
-	if err != nil {
-		return nil, eris.Wrap(err, "make folder")
-	}
-	defer os.RemoveAll(folder)
-	f, err := fleet.Start(ctx, fleet.Options{Deployment: deployment, Programs: programs, Folder: folder, LogLevel: "warn"})
+	f, stop, err := startFleet(ctx, fleet.Options{Deployment: deployment, Programs: programs, LogLevel: "warn"})
 	if err != nil {
 		return nil, err
 	}
-	defer f.Stop()
+	defer stop()
 	instance := deployment.Instances()[0].ID
 	model := string(deployment.Document().Models()[0])
 	c := caller.New([]string{f.Caller(instance)}, "")
--- a/cmd/cardload/run.go
+++ b/cmd/cardload/run.go
@@ -16,6 +16,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/fakes/caller"
 	"cardamomcourse.example/cardamom/fakes/fleet"
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // resendPause is the pause before a caller sends a key again.
@@ -169,13 +170,13 @@
 // send makes one call at its time, and sends a key again as an impatient
 // caller would.
 func (e *experiment) send(ctx context.Context, wire loadWire, from *caller.Caller, request caller.Request, at time.Duration) {
-	if !wait(ctx, at) {
+	if !pause.For(ctx, at) {
 		return
 	}
 	result := from.Do(ctx, request)
 	e.report.add(wire.Name, request, result)
 	for try := 0; try < wire.Resends && unresolved(result); try++ {
-		if !wait(ctx, resendPause) {
+		if !pause.For(ctx, resendPause) {
 			return
 		}
 		result = from.Do(ctx, request)
@@ -188,17 +189,6 @@
 	return result.Outcome == cardamom.OutcomeUnknown || result.Outcome == cardamom.NotRun
 }
 
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r *report) finish(out string) error {
 	body, err := json.MarshalIndent(r, "", "  ")
 	if err != nil {
--- a/cmd/cardload/slopes_fleet.go
+++ b/cmd/cardload/slopes_fleet.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"cardamomcourse.example/cardamom/fakes/fleet"
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // idleSpan is how long a fleet without callers is watched.
@@ -54,24 +54,19 @@
 		return idleCost{}, err
 	}
 	deployment.SetInstances(map[string]int{"north": instances / 2, "south": instances - instances/2})
-	folder, err := os.MkdirTemp("", "cardload-*")
-	if err != nil {
-		return idleCost{}, eris.Wrap(err, "make folder")
-	}
-	defer os.RemoveAll(folder)
-	f, err := fleet.Start(ctx, fleet.Options{Deployment: deployment, Programs: programs, Folder: folder, LogLevel: "warn"})
+	f, stop, err := startFleet(ctx, fleet.Options{Deployment: deployment, Programs: programs, LogLevel: "warn"})
 	if err != nil {
 		return idleCost{}, err
 	}
-	defer f.Stop()
-	if !wait(ctx, 4*time.Second) {
+	defer stop()
+	if !pause.For(ctx, 4*time.Second) {
 		return idleCost{}, ctx.Err()
 	}
 	before, err := sample(f, deployment)
 	if err != nil {
 		return idleCost{}, err
 	}
-	if !wait(ctx, idleSpan) {
+	if !pause.For(ctx, idleSpan) {
 		return idleCost{}, ctx.Err()
 	}
 	after, err := sample(f, deployment)
--- a/ctrl/poller.go
+++ b/ctrl/poller.go
@@ -6,6 +6,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // calmFactor is how many times longer the pause between two reports of an
@@ -35,8 +36,8 @@
 			case <-ctx.Done():
 				return
 			case <-timer.C:
-			case pause := <-p.wake:
-				if !sleep(ctx, pause) {
+			case wait := <-p.wake:
+				if !pause.For(ctx, wait) {
 					return
 				}
 			}
@@ -72,14 +73,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -9,6 +9,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/cells"
 	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/peerpb"
 	"cardamomcourse.example/cardamom/peers"
 	"cardamomcourse.example/cardamom/route"
@@ -280,9 +281,7 @@
 		return nil, errRetargeted
 	case <-f.notify:
 		cancel()
-		timer := time.NewTimer(watchGather)
-		defer timer.Stop()
-		<-timer.C
+		pause.For(ctx, watchGather)
 		return f.again(ctx, l, row, epoch, seq)
 	}
 }
--- a/entry/blame.go
+++ b/entry/blame.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomcourse.example/cardamom/cells"
+	"cardamomcourse.example/cardamom/pause"
 )
 
 const (
@@ -34,7 +35,7 @@
 		if err == nil {
 			break
 		}
-		if !sleep(limited, blamePause) {
+		if !pause.For(limited, blamePause) {
 			break
 		}
 		if ctx.Err() != nil {
@@ -56,14 +57,3 @@
 	j.deaths = append(j.deaths, death)
 	return death
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/fakes/complete.go
+++ b/fakes/complete.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // poisonWord in a prompt crashes the runner.
@@ -109,11 +111,11 @@
 }
 
 func (r *Runner) generate(ctx context.Context, w http.ResponseWriter, wire completionWire) {
-	if !sleep(ctx, r.options.Prefill) {
+	if !pause.For(ctx, r.options.Prefill) {
 		panic(http.ErrAbortHandler)
 	}
 	if !wire.Stream {
-		if !sleep(ctx, time.Duration(wire.MaxTokens-1)*r.options.Interval) {
+		if !pause.For(ctx, time.Duration(wire.MaxTokens-1)*r.options.Interval) {
 			panic(http.ErrAbortHandler)
 		}
 		writeJSON(w, wholeAnswer(wire))
@@ -123,7 +125,7 @@
 	controller := http.NewResponseController(w)
 	prompt := wire.prompt()
 	for n := range wire.MaxTokens {
-		if n > 0 && !sleep(ctx, r.options.Interval) {
+		if n > 0 && !pause.For(ctx, r.options.Interval) {
 			panic(http.ErrAbortHandler)
 		}
 		chunk, err := json.Marshal(map[string]any{
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/roster"
 )
 
@@ -65,7 +66,7 @@
 	if key := r.Header.Get("Cardamom-Key"); key != "" {
 		p.side.tell(EventWire{Kind: "run", Key: key, Runner: p.options.ID})
 	}
-	if !sleep(r.Context(), p.options.Work) {
+	if !pause.For(r.Context(), p.options.Work) {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, map[string]string{"service": p.options.Service, "path": r.URL.Path, "echo": string(body)})
--- a/fakes/proxy.go
+++ b/fakes/proxy.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // Fault is what a proxy does to the next requests on a path.
@@ -101,7 +103,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case "delay":
-		if !sleep(r.Context(), time.Duration(fault.MS)*time.Millisecond) {
+		if !pause.For(r.Context(), time.Duration(fault.MS)*time.Millisecond) {
 			panic(http.ErrAbortHandler)
 		}
 	case "hold":
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -9,6 +9,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/engine"
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/roster"
 )
 
@@ -246,7 +247,7 @@
 			return
 		}
 	}
-	if !sleep(ctx, time.Duration(float64(order.CheckpointMB)/speed*float64(time.Second))) {
+	if !pause.For(ctx, time.Duration(float64(order.CheckpointMB)/speed*float64(time.Second))) {
 		r.failLoad(s, order.Model)
 		return
 	}
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -1,7 +1,6 @@
 package fakes
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -52,21 +51,6 @@
 	_, _ = w.Write(body)
 }
 
-// sleep waits and tells whether the time has passed.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // listedAs returns the address that the list gives for a server.
 func listedAs(address string, server *Server) string {
 	if address != "" {
--- a/fakes/weights.go
+++ b/fakes/weights.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"cardamomcourse.example/cardamom/pause"
 )
 
 // weightsStep is the time between two steps of a transfer.
@@ -59,7 +61,7 @@
 	}()
 	last := time.Now()
 	for mb > 0 {
-		if !sleep(ctx, weightsStep) {
+		if !pause.For(ctx, weightsStep) {
 			return ctx.Err()
 		}
 		now := time.Now()
--- a/link/claims.go
+++ b/link/claims.go
@@ -7,6 +7,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/claim"
 	"cardamomcourse.example/cardamom/hold"
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/peerpb"
 	"cardamomcourse.example/cardamom/route"
 )
@@ -41,7 +42,7 @@
 		if answer := c.askOnce(ctx, resource, ask); answer.Verdict != claim.Unavailable {
 			return answer
 		}
-		if try+1 < claimTries && !pause(ctx, claimPause) {
+		if try+1 < claimTries && !pause.For(ctx, claimPause) {
 			break
 		}
 	}
@@ -78,7 +79,7 @@
 		if c.settleOnce(ctx, resource, settle) {
 			return true
 		}
-		if !pause(ctx, claimPause) {
+		if !pause.For(ctx, claimPause) {
 			return false
 		}
 	}
@@ -117,14 +118,3 @@
 	}
 	return nil, false
 }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/revs/revs.go
+++ b/revs/revs.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/table"
 )
 
@@ -130,7 +131,7 @@
 	var err error
 	uncertain := false
 	for try := range publishTries {
-		if try > 0 && !pause(ctx) {
+		if try > 0 && !pause.For(ctx, publishPause) {
 			break
 		}
 		var revision Revision
@@ -206,14 +207,3 @@
 	revision, err := wire.whole()
 	return revision, row.Version(), err
 }
-
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(publishPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
