Free the upstream of a caller that does not read; bound waiting bodies

Cause: a blocked write to a slow reader held the upstream's slot past the deadline for as long as the caller liked, and only the number of waiting requests was bounded. Change: writes end shortly after the deadline; admitted requests hold at most requests.queue_mb of bodies.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	desk := admit.New(admit.Deadline(), notify)
+//	desk := admit.New(admit.Deadline(), 64<<20, notify)
 //	pass, refusal := desk.Enter(ctx, ticket, now)
 //	if refusal == nil {
 //		defer pass.Release(admit.Done, time.Now())
@@ -46,6 +46,8 @@
 	QueueLimit int
 	// CallerLimit is how many requests the caller may have here.
 	CallerLimit int
+	// Size is the memory in bytes that the request holds while it waits.
+	Size int64
 	// Avoid is an upstream on which a try has failed, empty for none.
 	Avoid cardamom.UpstreamID
 }
@@ -88,19 +90,23 @@
 	callers map[string]int
 	demand  Demand
 	policy  Policy
+	// bytes is the memory of the requests that wait or run.
+	bytes    int64
+	maxBytes int64
 }
 
-// New returns a desk without queues that follows a policy and tells demand of
-// cells with news.
-func New(policy Policy, demand Demand) *Desk {
+// New returns a desk without queues that follows a policy, holds requests of at
+// most maxBytes and tells demand of cells with news.
+func New(policy Policy, maxBytes int64, demand Demand) *Desk {
 	return &Desk{
-		policy:  policy,
-		queues:  make(map[cardamom.ModelID]*queue),
-		cells:   make(map[cardamom.ModelID]cardamom.CellID),
-		windows: make(map[cardamom.UpstreamID]*window),
-		seats:   make(map[cells.Seat]int),
-		callers: make(map[string]int),
-		demand:  demand,
+		maxBytes: maxBytes,
+		policy:   policy,
+		queues:   make(map[cardamom.ModelID]*queue),
+		cells:    make(map[cardamom.ModelID]cardamom.CellID),
+		windows:  make(map[cardamom.UpstreamID]*window),
+		seats:    make(map[cells.Seat]int),
+		callers:  make(map[string]int),
+		demand:   demand,
 	}
 }
 
@@ -160,6 +166,7 @@
 	}
 	news := len(q.waiting) == 0
 	d.callers[ticket.Caller]++
+	d.bytes += ticket.Size
 	q.push(w)
 	d.dispatch(q)
 	if news && len(q.waiting) > 0 {
@@ -172,6 +179,9 @@
 	if w.ticket.CallerLimit > 0 && d.callers[w.ticket.Caller] >= w.ticket.CallerLimit {
 		return cardamom.Refuse(cardamom.ReasonCallerLimit, "caller has too many requests here").After(q.service.value)
 	}
+	if d.bytes+w.ticket.Size > d.maxBytes {
+		return cardamom.Refuse(cardamom.ReasonQueueFull, "waiting requests hold all the memory they may").After(d.comeBack(q, now))
+	}
 	if w.ticket.QueueLimit > 0 && len(q.waiting) >= w.ticket.QueueLimit {
 		return cardamom.Refuse(cardamom.ReasonQueueFull, "queue of the model is full").After(d.comeBack(q, now))
 	}
@@ -309,6 +319,7 @@
 }
 
 func (d *Desk) leave(ticket Ticket) {
+	d.bytes -= ticket.Size
 	d.callers[ticket.Caller]--
 	if d.callers[ticket.Caller] <= 0 {
 		delete(d.callers, ticket.Caller)
--- a/admit/desk_test.go
+++ b/admit/desk_test.go
@@ -48,6 +48,9 @@
 	})
 })
 
+// testBytes is the memory for requests of the specs' desk.
+const testBytes = 1000
+
 var _ = Describe("a desk", func() {
 	var (
 		desk    *admit.Desk
@@ -64,7 +67,7 @@
 
 	BeforeEach(func() {
 		demands, now = 0, time.Now()
-		desk = admit.New(admit.Deadline(), func(cardamom.CellID) { demands++ })
+		desk = admit.New(admit.Deadline(), testBytes, func(cardamom.CellID) { demands++ })
 	})
 
 	enter := func(t admit.Ticket) chan *admit.Pass {
@@ -154,6 +157,19 @@
 		Eventually(second).Should(Receive(Not(BeNil())))
 	})
 
+	It("bounds the memory of waiting requests, and frees it", func() {
+		big := ticket(0, time.Minute)
+		big.Size = testBytes
+		got := enter(big)
+		Eventually(waiting).Should(Equal(1))
+		_, refusal := desk.Enter(context.Background(), big, now)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason()).To(Equal(cardamom.ReasonQueueFull))
+		desk.Update("c", replica(1), now)
+		(<-got).Release(admit.Done, now)
+		Expect(<-enter(big)).NotTo(BeNil())
+	})
+
 	It("forgets a caller that goes away", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		refused := make(chan *cardamom.Refusal, 1)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -38,6 +38,7 @@
 	maxBody       int64
 	addressTTL    time.Duration
 	drain         time.Duration
+	queueBytes    int64
 	admission     string
 	claimShards   int
 	claimKeep     time.Duration
@@ -87,6 +88,9 @@
 // Drain returns how long a shutdown waits for requests in progress.
 func (s *Settings) Drain() time.Duration { return s.drain }
 
+// QueueBytes returns how much memory the bodies of admitted requests may hold.
+func (s *Settings) QueueBytes() int64 { return s.queueBytes }
+
 // Admission returns the name of the admission policy.
 func (s *Settings) Admission() string { return s.admission }
 
@@ -155,6 +159,7 @@
 		MaxBodyKB    int64  `json:"max_body_kb"`
 		AddressTTLMS int64  `json:"address_ttl_ms"`
 		DrainMS      int64  `json:"drain_ms"`
+		QueueMB      int64  `json:"queue_mb"`
 		Admission    string `json:"admission"`
 		ClaimShards  int    `json:"claim_shards"`
 		ClaimKeepMS  int64  `json:"claim_keep_ms"`
@@ -185,6 +190,7 @@
 	defaultMaxBodyKB         = 1024
 	defaultAddressTTLMS      = 5000
 	defaultDrainMS           = 30000
+	defaultQueueMB           = 64
 	defaultAdmission         = "deadline"
 	defaultClaimShards       = 8
 	defaultClaimKeepMS       = 600000
@@ -253,6 +259,7 @@
 		maxBody:       or(w.Requests.MaxBodyKB, defaultMaxBodyKB) * bytesPerKB,
 		addressTTL:    millis(w.Requests.AddressTTLMS, defaultAddressTTLMS),
 		drain:         millis(w.Requests.DrainMS, defaultDrainMS),
+		queueBytes:    or(w.Requests.QueueMB, defaultQueueMB) * bytesPerKB * bytesPerKB,
 		admission:     or(w.Requests.Admission, defaultAdmission),
 		claimShards:   or(w.Requests.ClaimShards, defaultClaimShards),
 		claimKeep:     millis(w.Requests.ClaimKeepMS, defaultClaimKeepMS),
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -44,6 +44,7 @@
 	req.settle(model.Profile().Priority(), model.Profile().Deadline())
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
+	defer limitWrites(w, req.deadline)()
 	cell, followed := view.Serving(model)
 	if !followed && !req.forwarded {
 		s.forward(ctx, w, r, req, model)
@@ -160,7 +161,8 @@
 	profile := j.model.Profile()
 	return admit.Ticket{
 		Model: j.model.ID(), Cell: j.cell, Caller: j.caller, Priority: j.priority, Arrived: j.arrived, Deadline: j.deadline,
-		Suspect: suspect, QueueLimit: profile.Queue(), CallerLimit: profile.CallerLimit(), Avoid: j.avoid,
+		Suspect: suspect, QueueLimit: profile.Queue(), CallerLimit: profile.CallerLimit(),
+		Size: int64(len(j.body)), Avoid: j.avoid,
 	}
 }
 
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -127,6 +127,23 @@
 		Expect(changed.StatusCode).To(Equal(http.StatusUnprocessableEntity))
 	})
 
+	It("frees its upstream when the caller does not read", func() {
+		freed := make(chan struct{})
+		h.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			defer close(freed)
+			event := "data: " + strings.Repeat("x", 1<<16) + "\n\n"
+			for r.Context().Err() == nil {
+				if _, err := io.WriteString(w, event); err != nil {
+					return
+				}
+			}
+		}))
+		post(askStream, "Cardamom-Deadline-Ms", "300")
+		Eventually(freed, "20s").Should(BeClosed())
+		Eventually(func() int { _, running := h.desk.Waiting(); return running }, "20s").Should(BeZero())
+	})
+
 	It("is refused after its second upstream died", func() {
 		upstream := &flaky{script: []string{"die"}}
 		h.serve(upstream)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -77,6 +77,7 @@
 	req.settle(service.Profile().Priority(), service.Profile().Deadline())
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
+	defer limitWrites(w, req.deadline)()
 	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
 	grant, refusal := s.claim(ctx, w, req)
 	if refusal != nil || grant.replayed {
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -71,7 +71,7 @@
 	tracer, err := trace.New(trace.Options{})
 	Expect(err).NotTo(HaveOccurred())
 	self := cardamom.Instance{ID: "i", Place: "x"}
-	h := &harness{views: route.NewHolder(self), desk: admit.New(admit.Deadline(), func(cardamom.CellID) {}), ledger: poison.New()}
+	h := &harness{views: route.NewHolder(self), desk: admit.New(admit.Deadline(), 1<<20, func(cardamom.CellID) {}), ledger: poison.New()}
 	h.views.Store(&route.View{
 		Self: self, Published: policy.NewPublished(1, document, nil, "", ""),
 		Follows: map[cardamom.CellID]map[cardamom.ModelID][]cells.Replica{"s/x/0": {}},
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -70,6 +70,17 @@
 	return body
 }
 
+// writeGrace is how long past its deadline an answer may still be written.
+const writeGrace = 500 * time.Millisecond
+
+// limitWrites keeps a caller that does not read from holding its upstream past
+// the deadline. The function returned frees the connection for the next request.
+func limitWrites(w http.ResponseWriter, deadline time.Time) func() {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(deadline.Add(writeGrace))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/node/provide.go
+++ b/node/provide.go
@@ -67,7 +67,7 @@
 func provideViews(settings *conf.Settings) *route.Holder { return route.NewHolder(settings.Instance()) }
 
 func provideDesk(settings *conf.Settings, board *switchboard) *admit.Desk {
-	return admit.New(admit.Lookup(settings.Admission()), func(cell cardamom.CellID) { board.loop.Demand(cell) })
+	return admit.New(admit.Lookup(settings.Admission()), settings.QueueBytes(), func(cell cardamom.CellID) { board.loop.Demand(cell) })
 }
 
 func provideLoop(
