Order loads by age as queues are

Cause: loads were ordered by priority alone, so that patient models waited for as long as urgent ones kept coming. Change: followers tell how long the first request has waited; loads are ordered by arrival + 5 s for each step of priority. Figures: the spec of a patient model beside an urgent one passes; the random histories still do.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -460,7 +460,7 @@
 func (q *queue) use() cells.Use {
 	use := cells.Use{Model: q.model, Waiting: len(q.waiting), Running: q.running, Started: q.started, Service: q.service.value}
 	if head := q.head(); head != nil {
-		use.Urgent = head.ticket.Deadline
+		use.Since = head.ticket.Arrived
 		use.Priority = head.ticket.Priority
 	}
 	return use
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -91,7 +91,7 @@
 	return false
 }
 
-// load orders the replicas that demand and profiles call for, most urgent first.
+// load orders the replicas that demand and profiles call for, those due first before the others.
 func (r *round) load() {
 	if r.cell.lossy && !r.allKnown() {
 		return
@@ -144,10 +144,7 @@
 	if (w.demand.waiting > 0) != (other.demand.waiting > 0) {
 		return w.demand.waiting > 0
 	}
-	if w.demand.priority != other.demand.priority {
-		return w.demand.priority < other.demand.priority
-	}
-	return w.demand.urgent.Before(other.demand.urgent)
+	return w.demand.due.Before(other.demand.due)
 }
 
 // desired returns how many replicas a model should have in this cell.
--- a/cells/safety_test.go
+++ b/cells/safety_test.go
@@ -19,7 +19,7 @@
 	switch pick("action", 12) {
 	case 0:
 		model := rapid.SampledFrom([]cardamom.ModelID{"a", "b", "c", "a1"}).Draw(t, "model")
-		w.uses = append(w.uses, cells.Use{Model: model, Waiting: 1 + pick("waiting", 8), Urgent: w.now.Add(time.Minute)})
+		w.uses = append(w.uses, cells.Use{Model: model, Waiting: 1 + pick("waiting", 8), Since: w.now})
 	case 1:
 		w.uses = nil
 	case 2, 3, 4:
@@ -108,13 +108,13 @@
 	})
 
 	It("loads one replica for a burst of waiters and more only beyond its slots", func() {
-		w.uses = []cells.Use{{Model: "b", Waiting: 400, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "b", Waiting: 400, Since: w.now}}
 		settle(w, 10)
 		Expect(w.cell.Count("b")).To(Equal(1))
 	})
 
 	It("loads an adapter's base first and both on one upstream", func() {
-		w.uses = []cells.Use{{Model: "a1", Waiting: 1, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "a1", Waiting: 1, Since: w.now}}
 		settle(w, 10)
 		var hosts []*simEngine
 		for _, e := range w.engines {
@@ -127,7 +127,7 @@
 	})
 
 	It("lets go of an idle model after its keep time", func() {
-		w.uses = []cells.Use{{Model: "c", Waiting: 1, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "c", Waiting: 1, Since: w.now}}
 		settle(w, 5)
 		Expect(w.cell.Count("c")).To(Equal(1))
 		w.uses = nil
@@ -139,16 +139,35 @@
 		single, err := newWorld(true, 1)
 		Expect(err).NotTo(HaveOccurred())
 		settle(single, 2)
-		single.uses = []cells.Use{{Model: "b", Waiting: 1, Urgent: single.now.Add(time.Minute)}}
+		single.uses = []cells.Use{{Model: "b", Waiting: 1, Since: single.now}}
 		settle(single, 5)
-		single.uses = []cells.Use{{Model: "c", Waiting: 1, Urgent: single.now.Add(time.Minute)}}
+		single.uses = []cells.Use{{Model: "c", Waiting: 1, Since: single.now}}
 		settle(single, 8)
 		Expect(single.engines[0].loaded).To(HaveKey(cardamom.ModelID("c")))
 		Expect(single.engines[0].loaded).NotTo(HaveKey(cardamom.ModelID("b")))
 	})
 
+	It("lets a patient model load between urgent ones", func() {
+		single, err := newWorld(true, 1)
+		Expect(err).NotTo(HaveOccurred())
+		settle(single, 2)
+		patient := cells.Use{Model: "c", Waiting: 1, Since: single.now, Priority: 9}
+		for round := range 400 {
+			urgent := cells.Use{Model: "b", Waiting: 1, Since: single.now}
+			if round%10 < 5 {
+				urgent.Waiting = 0
+			}
+			single.uses = []cells.Use{urgent, patient}
+			settle(single, 1)
+			if loaded, ok := single.engines[0].loaded["c"]; ok && loaded.State == engine.Ready {
+				return
+			}
+		}
+		Fail("the patient model was never loaded")
+	})
+
 	It("moves a replica off a leaving upstream", func() {
-		w.uses = []cells.Use{{Model: "b", Waiting: 1, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "b", Waiting: 1, Since: w.now}}
 		settle(w, 5)
 		var host *simEngine
 		for _, e := range w.engines {
@@ -165,7 +184,7 @@
 	})
 
 	It("keeps an order charged whose reply was lost, and repeats it under its identity", func() {
-		w.uses = []cells.Use{{Model: "b", Waiting: 1, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "b", Waiting: 1, Since: w.now}}
 		w.decide(w.cell)
 		Expect(w.network).To(HaveLen(1))
 		first := w.network[0].command.Order
@@ -188,7 +207,7 @@
 	})
 
 	It("sends followers only what has changed", func() {
-		w.uses = []cells.Use{{Model: "b", Waiting: 1, Urgent: w.now.Add(time.Minute)}}
+		w.uses = []cells.Use{{Model: "b", Waiting: 1, Since: w.now}}
 		settle(w, 5)
 		seq := w.cell.Seq()
 		Expect(w.cell.Since(seq).Replicas).To(BeEmpty())
--- a/cells/use.go
+++ b/cells/use.go
@@ -7,13 +7,18 @@
 	"cardamomcourse.example/cardamom/keep"
 )
 
+// ageStep is how much later a waiting request counts as arrived for each step
+// of priority, so that patient models are overtaken for a bounded time.
+const ageStep = 5 * time.Second
+
 // Use is what one instance does with one model.
 type Use struct {
-	Model    cardamom.ModelID
-	Waiting  int
-	Running  int
-	Started  int
-	Urgent   time.Time
+	Model   cardamom.ModelID
+	Waiting int
+	Running int
+	Started int
+	// Since is when the request that is served next has arrived.
+	Since    time.Time
 	Priority int
 	// Service is the time of one request in service, 0 if unknown.
 	Service time.Duration
@@ -88,12 +93,12 @@
 
 // demand is the use of one model over all watchers.
 type demand struct {
-	model    cardamom.ModelID
-	waiting  int
-	running  int
-	urgent   time.Time
-	priority int
-	service  time.Duration
+	model   cardamom.ModelID
+	waiting int
+	running int
+	// due orders the demands: arrival, later by a step for each priority.
+	due     time.Time
+	service time.Duration
 }
 
 func (c *Cell) demands(now time.Time) map[cardamom.ModelID]demand {
@@ -111,16 +116,13 @@
 }
 
 func (d demand) add(use Use) demand {
-	first := d.model == ""
 	d.model = use.Model
 	d.waiting += use.Waiting
 	d.running += use.Running
 	d.service = max(d.service, use.Service)
-	if use.Waiting > 0 && (d.urgent.IsZero() || use.Urgent.Before(d.urgent)) {
-		d.urgent = use.Urgent
-	}
-	if first || use.Priority < d.priority {
-		d.priority = use.Priority
+	due := use.Since.Add(time.Duration(use.Priority) * ageStep)
+	if use.Waiting > 0 && (d.due.IsZero() || due.Before(d.due)) {
+		d.due = due
 	}
 	return d
 }
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -101,7 +101,7 @@
 	for _, use := range request.GetUses() {
 		watch.Uses = append(watch.Uses, cells.Use{
 			Model: cardamom.ModelID(use.GetModel()), Waiting: int(use.GetWaiting()), Running: int(use.GetRunning()),
-			Started: int(use.GetStarted()), Urgent: now.Add(time.Duration(use.GetUrgentMs()) * time.Millisecond),
+			Started: int(use.GetStarted()), Since: now.Add(-time.Duration(use.GetWaitedMs()) * time.Millisecond),
 			Priority: int(use.GetPriority()), Service: time.Duration(use.GetServiceMs()) * time.Millisecond,
 		})
 	}
@@ -337,7 +337,7 @@
 	for _, use := range uses {
 		request.Uses = append(request.Uses, &peerpb.Use{
 			Model: string(use.Model), Waiting: uint32(use.Waiting), Running: uint32(use.Running),
-			Started: uint32(use.Started), UrgentMs: use.Urgent.Sub(now).Milliseconds(), Priority: int32(use.Priority), ServiceMs: use.Service.Milliseconds(),
+			Started: uint32(use.Started), WaitedMs: waited(use, now), Priority: int32(use.Priority), ServiceMs: use.Service.Milliseconds(),
 		})
 	}
 	for _, seat := range busy {
@@ -346,6 +346,13 @@
 	return request
 }
 
+func waited(use cells.Use, now time.Time) int64 {
+	if use.Waiting == 0 {
+		return 0
+	}
+	return now.Sub(use.Since).Milliseconds()
+}
+
 func (e followed) apply(l *Loop, now time.Time) {
 	e.follow.merge(e.reply)
 	l.options.Desk.Update(e.follow.cell, e.follow.replicas, now)
