--- a/admit/desk.go
+++ b/admit/desk.go
@@ -32,51 +32,6 @@
 	maxRetryAfter = 30 * time.Second
 )
 
-// Ticket is a request at the door.
-type Ticket struct {
-	Model    cardamom.ModelID
-	Cell     cardamom.CellID
-	Caller   string
-	Priority int
-	Arrived  time.Time
-	Deadline time.Time
-	// Suspect tells that an upstream died while running the request.
-	Suspect bool
-	// QueueLimit is how many requests may wait for the model.
-	QueueLimit int
-	// CallerLimit is how many requests the caller may have here.
-	CallerLimit int
-	// Size is the memory in bytes that the request holds while it waits.
-	Size int64
-	// Avoid is an upstream on which a try has failed, empty for none.
-	Avoid cardamom.UpstreamID
-}
-
-// Result is how a pass ended.
-type Result uint8
-
-// The results of a pass.
-const (
-	// Done means the request was served; its time counts as service time.
-	Done Result = iota + 1
-	// Broken means it was not; its time does not count.
-	Broken
-)
-
-// Pass is a place on an upstream. It must be released once.
-type Pass struct {
-	desk    *Desk
-	ticket  Ticket
-	replica cells.Replica
-	started time.Time
-}
-
-// Replica returns where to send the request.
-func (p *Pass) Replica() cells.Replica { return p.replica }
-
-// Release frees the place.
-func (p *Pass) Release(result Result, now time.Time) { p.desk.release(p, result, now) }
-
 // Demand is told of a cell whose follower has news for the holder.
 type Demand func(cell cardamom.CellID)
 
@@ -238,69 +193,6 @@
 	return w
 }
 
-// dispatch gives places to the waiting requests of a queue, best first.
-func (d *Desk) dispatch(q *queue) {
-	for d.dispatchHead(q) {
-		continue
-	}
-}
-
-// next returns the first waiting request that can have a place now. A suspected
-// one that must wait for another does not hold up those behind it.
-func (d *Desk) next(q *queue) (*waiter, cells.Replica, bool) {
-	w := q.head()
-	if w == nil {
-		return nil, cells.Replica{}, false
-	}
-	replica, ok := d.pick(q, w.ticket)
-	if ok || !w.ticket.Suspect {
-		return w, replica, ok
-	}
-	w = q.firstClean()
-	if w == nil {
-		return nil, cells.Replica{}, false
-	}
-	replica, ok = d.pick(q, w.ticket)
-	return w, replica, ok
-}
-
-// dispatchHead gives the first waiting request a place if there is one.
-func (d *Desk) dispatchHead(q *queue) bool {
-	w, replica, ok := d.next(q)
-	if !ok {
-		return false
-	}
-	q.remove(w)
-	q.running++
-	q.started++
-	d.window(replica).take(w.ticket.Suspect)
-	d.seats[replica.Seat]++
-	w.granted <- grant{replica: replica}
-	return true
-}
-
-// pick returns the ready replica with the emptiest window. The upstream to
-// avoid is taken only if there is no other.
-func (d *Desk) pick(q *queue, ticket Ticket) (cells.Replica, bool) {
-	var best cells.Replica
-	found := false
-	least := 0.0
-	for _, replica := range q.replicas {
-		window := d.window(replica)
-		if replica.State != cells.ReplicaReady || !window.open(ticket.Suspect) {
-			continue
-		}
-		fill := float64(window.inflight) / window.limit
-		if replica.Upstream == ticket.Avoid {
-			fill++
-		}
-		if !found || fill < least {
-			best, found, least = replica, true, fill
-		}
-	}
-	return best, found
-}
-
 func (d *Desk) release(p *Pass, result Result, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -326,37 +218,6 @@
 	}
 }
 
-// dispatchUpstream serves the queues that have a replica on the upstream, the
-// one whose head is due first before the others.
-func (d *Desk) dispatchUpstream(upstream cardamom.UpstreamID) {
-	for {
-		var first *queue
-		for _, q := range d.queues {
-			if q.head() == nil || !q.on(upstream) {
-				continue
-			}
-			if _, _, ok := d.next(q); !ok {
-				continue
-			}
-			if first == nil || q.head().key.Before(first.head().key) {
-				first = q
-			}
-		}
-		if first == nil || !d.dispatchHead(first) {
-			return
-		}
-	}
-}
-
-func (q *queue) on(upstream cardamom.UpstreamID) bool {
-	for _, replica := range q.replicas {
-		if replica.Upstream == upstream {
-			return true
-		}
-	}
-	return false
-}
-
 // abandon takes a waiting request out and tells whether it still waited.
 func (d *Desk) abandon(w *waiter) bool {
 	d.mu.Lock()
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -9,26 +9,6 @@
 	cardamom "cardamomcourse.example/cardamom"
 )
 
-// statuses are the HTTP statuses of the reasons.
-var statuses = map[cardamom.Reason]int{
-	cardamom.ReasonBadRequest:    http.StatusBadRequest,
-	cardamom.ReasonBadDeadline:   http.StatusBadRequest,
-	cardamom.ReasonUnknownModel:  http.StatusNotFound,
-	cardamom.ReasonUnknownPath:   http.StatusNotFound,
-	cardamom.ReasonBadMethod:     http.StatusMethodNotAllowed,
-	cardamom.ReasonTooLarge:      http.StatusRequestEntityTooLarge,
-	cardamom.ReasonOverload:      http.StatusTooManyRequests,
-	cardamom.ReasonQueueFull:     http.StatusTooManyRequests,
-	cardamom.ReasonCallerLimit:   http.StatusTooManyRequests,
-	cardamom.ReasonDeadline:      http.StatusGatewayTimeout,
-	cardamom.ReasonPoison:        http.StatusUnprocessableEntity,
-	cardamom.ReasonKeyReuse:      http.StatusUnprocessableEntity,
-	cardamom.ReasonAlreadyRan:    http.StatusConflict,
-	cardamom.ReasonInProgress:    http.StatusConflict,
-	cardamom.ReasonUpstreamLost:  http.StatusBadGateway,
-	cardamom.ReasonUpstreamError: http.StatusBadGateway,
-}
-
 // errorWire is the JSON form of a refusal, in the manner of the OpenAI API.
 type errorWire struct {
 	Error errorBody `json:"error"`
@@ -40,11 +20,30 @@
 	Outcome string `json:"outcome"`
 }
 
+// statusOf returns the HTTP status of a reason.
 func statusOf(reason cardamom.Reason) int {
-	if status, ok := statuses[reason]; ok {
-		return status
+	switch reason {
+	case cardamom.ReasonBadRequest, cardamom.ReasonBadDeadline:
+		return http.StatusBadRequest
+	case cardamom.ReasonUnknownModel, cardamom.ReasonUnknownPath:
+		return http.StatusNotFound
+	case cardamom.ReasonBadMethod:
+		return http.StatusMethodNotAllowed
+	case cardamom.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case cardamom.ReasonOverload, cardamom.ReasonQueueFull, cardamom.ReasonCallerLimit:
+		return http.StatusTooManyRequests
+	case cardamom.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case cardamom.ReasonPoison, cardamom.ReasonKeyReuse:
+		return http.StatusUnprocessableEntity
+	case cardamom.ReasonAlreadyRan, cardamom.ReasonInProgress:
+		return http.StatusConflict
+	case cardamom.ReasonUpstreamLost, cardamom.ReasonUpstreamError:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
 	}
-	return http.StatusServiceUnavailable
 }
 
 // refuse writes a refusal as the whole response.
