Check the quota where a load is ordered; ports below the ephemeral range

A round counts the missing replicas of all models first; an adapter served first ordered its base, and the base's own want, counted before, ordered it again on another runner. Ruled out: a stale report (none arrived late), a late event of a killed runner (the runner was alive). 8 storms did not start because a port was taken between its choice and its use by an outgoing connection. Change: the quota is checked at the one place that orders a load; ports are drawn below the ephemeral range.

--- a/cells/decide.go
+++ b/cells/decide.go
@@ -206,6 +206,9 @@
 // place orders one replica of the model, or first what it needs: its base, or
 // memory. It tells whether a load of the model was ordered.
 func (r *round) place(model *policy.Model) bool {
+	if r.cell.Count(model.ID()) >= model.Quota(r.cell.id) {
+		return false
+	}
 	if model.Base() != "" && !r.baseReady(model) {
 		return false
 	}
--- a/cells/safety_test.go
+++ b/cells/safety_test.go
@@ -18,7 +18,7 @@
 	e := w.engines[pick("engine", len(w.engines))]
 	switch pick("action", 12) {
 	case 0:
-		model := rapid.SampledFrom([]cardamom.ModelID{"a", "b", "c", "a1"}).Draw(t, "model")
+		model := rapid.SampledFrom([]cardamom.ModelID{"a", "b", "c", "a1", "b1"}).Draw(t, "model")
 		w.uses = append(w.uses, cells.Use{Model: model, Waiting: 1 + pick("waiting", 8), Since: w.now})
 	case 1:
 		w.uses = nil
@@ -126,6 +126,17 @@
 		Expect(hosts[0].loaded).To(HaveKey(cardamom.ModelID("a")))
 	})
 
+	It("loads a base once that is asked for itself and by its adapter", func() {
+		w.uses = []cells.Use{
+			{Model: "b1", Waiting: 1, Since: w.now.Add(-time.Second)},
+			{Model: "b", Waiting: 1, Since: w.now},
+		}
+		settle(w, 10)
+		Expect(w.fault()).To(BeEmpty())
+		Expect(w.cell.Count("b")).To(Equal(1))
+		Expect(w.cell.Count("b1")).To(Equal(1))
+	})
+
 	It("lets go of an idle model after its keep time", func() {
 		w.uses = []cells.Use{{Model: "c", Waiting: 1, Since: w.now}}
 		settle(w, 5)
--- a/cells/world_test.go
+++ b/cells/world_test.go
@@ -18,7 +18,8 @@
 		"a": {"service": "s", "profile": "p", "memory_mb": 40, "checkpoint_mb": 40},
 		"b": {"service": "s", "profile": "one", "memory_mb": 60, "checkpoint_mb": 60},
 		"c": {"service": "s", "profile": "one", "memory_mb": 50, "checkpoint_mb": 50},
-		"a1": {"service": "s", "profile": "p", "base": "a", "memory_mb": 10, "checkpoint_mb": 5}
+		"a1": {"service": "s", "profile": "p", "base": "a", "memory_mb": 10, "checkpoint_mb": 5},
+		"b1": {"service": "s", "profile": "one", "base": "b", "memory_mb": 10, "checkpoint_mb": 5}
 	}
 }`
 
--- a/cmd/cardload/storm.go
+++ b/cmd/cardload/storm.go
@@ -41,17 +41,19 @@
 	Deaths     int            `json:"upstream_deaths"`
 	Violations []string       `json:"violations"`
 	Faults     map[string]int `json:"faults"`
+	// Plan lists the faults of a single storm.
+	Plan []faultWire `json:"plan,omitempty"`
 }
 
 func stormCommand() *cobra.Command {
-	var programs string
+	var programs, folder string
 	var paths []string
 	var runs, parallel int
 	var seed uint64
 	command := &cobra.Command{
 		Use: "storm", Short: "Run seeded series of random faults", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			wire := runStorms(command.Context(), paths, programs, seed, runs, parallel)
+			wire := runStorms(command.Context(), paths, programs, folder, seed, runs, parallel)
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
 				return eris.Wrap(err, "encode result")
@@ -66,13 +68,14 @@
 	flags := command.Flags()
 	flags.StringSliceVar(&paths, "deployment", []string{"examples/small/deployment.jsonc", "examples/small/deployment-unfenced.jsonc"}, "deployment files, used in turn")
 	flags.StringVar(&programs, "programs", "bin", "folder with cardd and cardfake")
+	flags.StringVar(&folder, "folder", "", "folder that keeps the settings and logs of a single storm")
 	flags.IntVar(&runs, "runs", 10, "how many storms")
 	flags.IntVar(&parallel, "parallel", 2, "how many at once")
 	flags.Uint64Var(&seed, "seed", 1, "seed of the first storm")
 	return command
 }
 
-func runStorms(ctx context.Context, paths []string, programs string, seed uint64, runs, parallel int) *stormWire {
+func runStorms(ctx context.Context, paths []string, programs, folder string, seed uint64, runs, parallel int) *stormWire {
 	wire := &stormWire{Outcomes: make(map[string]int), Faults: make(map[string]int)}
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -81,7 +84,7 @@
 		all.Go(func() {
 			for next := range seeds {
 				path := paths[next%uint64(len(paths))]
-				s, r, err := runStorm(ctx, path, programs, next)
+				s, r, err := runStorm(ctx, path, programs, folder, next)
 				mu.Lock()
 				wire.add(next, s, r, err)
 				mu.Unlock()
@@ -103,6 +106,10 @@
 		return
 	}
 	w.Runs++
+	w.Plan = nil
+	if w.Runs == 1 {
+		w.Plan = s.wire.Faults
+	}
 	for _, fault := range s.wire.Faults {
 		w.Faults[fault.Do]++
 	}
@@ -122,7 +129,7 @@
 }
 
 // runStorm runs one storm whose faults and requests all come from the seed.
-func runStorm(ctx context.Context, path, programs string, seed uint64) (*scenario, *report, error) {
+func runStorm(ctx context.Context, path, programs, folder string, seed uint64) (*scenario, *report, error) {
 	deployment, err := fleet.Load(path)
 	if err != nil {
 		return nil, nil, err
@@ -143,7 +150,7 @@
 	for range stormFaults {
 		s.wire.Faults = append(s.wire.Faults, randomFault(random, deployment)...)
 	}
-	r, err := s.run(ctx, programs, "")
+	r, err := s.run(ctx, programs, folder)
 	return s, r, err
 }
 
--- a/fakes/fleet/process.go
+++ b/fakes/fleet/process.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -89,12 +91,23 @@
 	<-p.done
 }
 
+// The ports that processes listen on: below those that the kernel gives to
+// outgoing connections, which could otherwise take a port between its choice
+// and its use.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+	portTries = 100
+)
+
 // FreePort returns a loopback address that nothing listens on.
 func FreePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find free port")
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", eris.New("no free port found")
 }
