Rank members only where it matters; ask engines by due time

Change: the order is worked out only for own and vacant holds; an exchange each 500 ms with 2 KB; a cell's engines in use are asked each 125 ms x their number, calm ones each 5 s, awaited ones when due; engine bytes are counted.

--- a/cells/cell.go
+++ b/cells/cell.go
@@ -348,6 +348,10 @@
 	return charged
 }
 
+// pausePerUpstream is the pause between two reports of an upstream in use for
+// each upstream of the cell, so that a cell's reports are bounded in all.
+const pausePerUpstream = 125 * time.Millisecond
+
 // unhurried is a pause longer than any between two reports.
 const unhurried = time.Hour
 
@@ -367,7 +371,13 @@
 	if len(u.pending) > 0 || len(u.draining) > 0 {
 		due = 0
 	}
-	return due, due < unhurried || u.reported.IsZero() || c.sharers(u) > 0
+	if u.reported.IsZero() {
+		due = 0
+	}
+	if due == unhurried && c.sharers(u) > 0 {
+		due = time.Duration(len(c.upstreams)) * pausePerUpstream
+	}
+	return due, due < unhurried
 }
 
 // known tells whether what is loaded on the upstream can be trusted for decisions.
--- a/cmd/cardload/capacity.go
+++ b/cmd/cardload/capacity.go
@@ -58,6 +58,7 @@
 		{"digest_size", "bytes", "members", memberSizes, digestBytes},
 		{"member_memory", "bytes", "members", memberSizes, memberMemory},
 		{"look_time", "µs", "members", memberSizes, lookTime},
+		{"rank_time", "µs", "members", memberSizes, rankTime},
 		{"address_time", "µs", "members", memberSizes, addressTime},
 		{"parse_time", "ms", "models", modelSizes, parseTime},
 		{"document_packed", "bytes", "models", modelSizes, packedBytes},
@@ -71,6 +72,7 @@
 		{"idle_cpu", "% of a core", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.cpu })},
 		{"idle_memory", "MB", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.resident })},
 		{"idle_bytes", "KB/s", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.bytes })},
+		{"idle_engine_bytes", "KB/s", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.engines })},
 		{"table_reads", "reads/s", "instances", fleetSizes, fleets.of(func(c idleCost) float64 { return c.reads })},
 	}
 }
--- a/cmd/cardload/slopes.go
+++ b/cmd/cardload/slopes.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	digestBudget = 4096
+	digestBudget = 2048
 	placesCount  = 6
 	cellsCount   = 60
 	// loadedPerRunner is how many models each engine of the measurement has.
@@ -90,18 +90,30 @@
 	return heap(func() any { return memberState(members) }), nil
 }
 
-// lookTime is the time to rank the members for one resource and to decide on it.
+// lookTime is the time to decide on one resource that others hold.
 func lookTime(members int) (float64, error) {
+	return decideTime(members, "cell/llm/place-3/4")
+}
+
+// rankTime is the time to decide on one resource that this instance holds.
+func rankTime(members int) (float64, error) {
+	return decideTime(members, "cell/llm/place-0/0")
+}
+
+func decideTime(members int, resource hold.Resource) (float64, error) {
 	s := memberState(members)
 	now := start()
-	active := s.Active(now)
-	ids := make([]cardamom.InstanceID, 0, len(active))
-	for _, member := range active {
-		ids = append(ids, member.Instance().ID)
+	row := s.Hold(resource)
+	ranked := func() []cardamom.InstanceID {
+		active := s.Active(now)
+		ids := make([]cardamom.InstanceID, 0, len(active))
+		for _, member := range active {
+			ids = append(ids, member.Instance().ID)
+		}
+		return rank.Order(string(resource), ids)
 	}
-	row := s.Hold("cell/llm/place-3/4")
 	return microseconds(func() {
-		hold.Decide(row, hold.NewSelf(s.Party(), false), rank.Order(string(row.Resource()), ids), s.At(now))
+		hold.Decide(hold.Effective(row, s.At(now)), hold.NewSelf(s.Party(), false), ranked, s.At(now))
 	}), nil
 }
 
--- a/cmd/cardload/slopes_fleet.go
+++ b/cmd/cardload/slopes_fleet.go
@@ -20,6 +20,7 @@
 	cpu      float64 // percent of a core
 	resident float64 // MB
 	bytes    float64 // KB a second, to and from peers
+	engines  float64 // KB a second, to and from engines
 	reads    float64 // reads of the table a second, of all instances
 }
 
@@ -78,14 +79,16 @@
 		cpu:      100 * (after.cpu - before.cpu) / seconds / count,
 		resident: after.resident / count,
 		// A call's bytes are counted at its caller and spent at both ends.
-		bytes: 2 * (after.bytes - before.bytes) / 1000 / seconds / count,
-		reads: (after.reads - before.reads) / seconds,
+		bytes:   2 * (after.bytes - before.bytes) / 1000 / seconds / count,
+		engines: (after.engines - before.engines) / 1000 / seconds / count,
+		reads:   (after.reads - before.reads) / seconds,
 	}, nil
 }
 
 type varsWire struct {
 	Sent     int64 `json:"peer_bytes_sent"`
 	Received int64 `json:"peer_bytes_received"`
+	Engines  int64 `json:"engine_bytes"`
 }
 
 // sample sums processor seconds, resident MB, peer bytes and table reads.
@@ -107,6 +110,7 @@
 		sum.cpu += cpu.Seconds()
 		sum.resident += float64(resident) / 1e6
 		sum.bytes += float64(vars.Sent + vars.Received)
+		sum.engines += float64(vars.Engines)
 	}
 	counts, err := f.TableCounts()
 	sum.reads = float64(counts.Reads)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -182,9 +182,9 @@
 const (
 	defaultPlatformTimeoutMS = 2000
 	defaultPollMS            = 1000
-	defaultExchangeMS        = 300
+	defaultExchangeMS        = 500
 	defaultSuspectMS         = 2500
-	defaultDigestBytes       = 4096
+	defaultDigestBytes       = 2048
 	defaultReportMS          = 200
 	defaultEngineTimeoutMS   = 1000
 	defaultMaxBodyKB         = 1024
--- a/ctrl/cells.go
+++ b/ctrl/cells.go
@@ -187,7 +187,7 @@
 		for _, command := range held.cell.Decide(now) {
 			l.sendOrder(held, command)
 		}
-		held.hurry(l.options.Settings.Report())
+		held.hurry()
 	}
 	l.saveDrops(held)
 	l.answerParked(held, now)
--- a/ctrl/holds.go
+++ b/ctrl/holds.go
@@ -75,8 +75,12 @@
 	l.startStep(row, step)
 }
 
-// ranked returns the instances that may hold a resource, best first.
-func (l *Loop) ranked(resource hold.Resource, now time.Time) []cardamom.InstanceID {
+// ranked ranks the instances that may hold a resource when it is called.
+func (l *Loop) ranked(resource hold.Resource, now time.Time) hold.Ranked {
+	return func() []cardamom.InstanceID { return l.rank(resource, now) }
+}
+
+func (l *Loop) rank(resource hold.Resource, now time.Time) []cardamom.InstanceID {
 	active := l.peers.Active(now)
 	all := make([]cardamom.InstanceID, 0, len(active))
 	for _, member := range active {
--- a/ctrl/poller.go
+++ b/ctrl/poller.go
@@ -6,15 +6,14 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/hold"
-	"cardamomcourse.example/cardamom/pause"
 )
 
 // calmFactor is how many times longer the pause between two reports of an
 // upstream is while nothing is expected of it.
-const calmFactor = 10
+const calmFactor = 25
 
 // shortestPause is the least pause between two reports of an upstream.
-const shortestPause = 25 * time.Millisecond
+const shortestPause = 50 * time.Millisecond
 
 // poller asks one upstream for its reports.
 type poller struct {
@@ -23,32 +22,36 @@
 	wake chan time.Duration
 }
 
-// startPoller polls an upstream until the poller is cancelled: often while it
-// is woken again and again, seldom otherwise.
+// startPoller polls an upstream until the poller is cancelled: when it is woken
+// for, and seldom otherwise.
 func (l *Loop) startPoller(resource hold.Resource, upstream cardamom.Upstream) *poller {
 	ctx, cancel := context.WithCancel(l.ctx)
 	p := &poller{cancel: cancel, wake: make(chan time.Duration, 1)}
+	calm := calmFactor * l.options.Settings.Report()
 	go func() {
+		due := time.Now()
 		timer := time.NewTimer(0)
 		defer timer.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-timer.C:
 			case wait := <-p.wake:
-				if !pause.For(ctx, wait) {
-					return
+				if at := time.Now().Add(wait); at.Before(due) {
+					due = at
+					timer.Reset(wait)
 				}
+			case <-timer.C:
+				l.askReport(ctx, resource, upstream)
+				due = time.Now().Add(calm)
+				timer.Reset(calm)
 			}
-			l.askReport(ctx, resource, upstream)
-			timer.Reset(calmFactor * l.options.Settings.Report())
 		}
 	}()
 	return p
 }
 
-// hurry makes the next report of the poller come after the pause.
+// hurry makes the next report of the poller come after the pause at the latest.
 func (p *poller) hurry(pause time.Duration) {
 	select {
 	case p.wake <- pause:
@@ -66,10 +69,10 @@
 }
 
 // hurry wakes the pollers of the upstreams of which news is expected.
-func (h *heldCell) hurry(longest time.Duration) {
+func (h *heldCell) hurry() {
 	for id, p := range h.pollers {
 		if due, ok := h.cell.Expecting(id); ok {
-			p.hurry(min(max(due, shortestPause), longest))
+			p.hurry(max(due, shortestPause))
 		}
 	}
 }
--- a/engine/http.go
+++ b/engine/http.go
@@ -13,21 +13,27 @@
 	"github.com/rotisserie/eris"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/meter"
 )
 
 // HTTP is the control client of engines with the HTTP interface.
 type HTTP struct {
 	client  *http.Client
 	reports atomic.Int64
+	meter   *meter.Meter
 }
 
+// Meter counts the bytes of reports and orders.
+func (h *HTTP) Meter() *meter.Meter { return h.meter }
+
 // Reports returns how many reports were asked for.
 func (h *HTTP) Reports() int64 { return h.reports.Load() }
 
 // NewHTTP returns a client whose calls last at most timeout.
 func NewHTTP(timeout time.Duration) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
-	return &HTTP{client: &http.Client{Timeout: timeout, Transport: transport}}
+	counted := &meter.Meter{}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DialContext: counted.DialContext}
+	return &HTTP{meter: counted, client: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // OrderWire is the JSON form of an order.
--- a/hold/decide.go
+++ b/hold/decide.go
@@ -72,11 +72,15 @@
 	return row
 }
 
-// Decide returns this instance's step for a hold. Ranked lists the instances
-// that may hold or witness it, live and not leaving, best first.
-func Decide(row Row, self Self, ranked []cardamom.InstanceID, members Members) Step {
+// Ranked returns the instances that may hold or witness a resource, live and
+// not leaving, best first. It is called only where the order matters, as most
+// holds are somebody else's.
+type Ranked func() []cardamom.InstanceID
+
+// Decide returns this instance's step for a hold.
+func Decide(row Row, self Self, ranked Ranked, members Members) Step {
 	if row.holder == self.party {
-		return decideHolder(row, self, ranked, members)
+		return decideHolder(row, self, ranked(), members)
 	}
 	if self.leaving {
 		return Step{}
@@ -84,7 +88,11 @@
 	if row.witness == self.party {
 		return decideWitness(row, self, members)
 	}
-	if !vacant(row, members) || len(ranked) == 0 || ranked[0] != self.party.id {
+	if !vacant(row, members) {
+		return Step{}
+	}
+	order := ranked()
+	if len(order) == 0 || order[0] != self.party.id {
 		return Step{}
 	}
 	return take(row, self, row.version > 0)
--- a/hold/decide_test.go
+++ b/hold/decide_test.go
@@ -115,7 +115,7 @@
 			}
 			step := hold.Decide(
 				hold.NewRow("cell/x", party(row[0]), party(row[1]), version, 0),
-				hold.NewSelf(party(self), leaving), ranked,
+				hold.NewSelf(party(self), leaving), func() []cardamom.InstanceID { return ranked },
 				scriptMembers{alive: parties(fields[1]), ended: parties(fields[2]), steady: list(fields[3])},
 			)
 			Expect(describe(step)).To(Equal(fields[6]))
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cardamomcourse.example/cardamom/certs"
+	"cardamomcourse.example/cardamom/meter"
 	"cardamomcourse.example/cardamom/peerpb"
 )
 
@@ -24,7 +25,7 @@
 type Dialer struct {
 	mu      sync.Mutex
 	http    *http.Client
-	meter   *Meter
+	meter   *meter.Meter
 	clients map[string]peerpb.Peer
 	scheme  string
 }
@@ -32,8 +33,8 @@
 // NewDialer returns a dialer whose calls last at most timeout. Without a
 // keeper peers are not checked.
 func NewDialer(timeout time.Duration, keeper *certs.Keeper) *Dialer {
-	meter := &Meter{}
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DialContext: meter.DialContext}
+	counted := &meter.Meter{}
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: idleTimeout, DialContext: counted.DialContext}
 	scheme := "http://"
 	if keeper != nil {
 		scheme = "https://"
@@ -41,14 +42,14 @@
 	}
 	return &Dialer{
 		scheme:  scheme,
-		meter:   meter,
+		meter:   counted,
 		http:    &http.Client{Timeout: timeout, Transport: transport},
 		clients: make(map[string]peerpb.Peer),
 	}
 }
 
 // Meter counts the bytes of the calls this instance makes to peers.
-func (d *Dialer) Meter() *Meter { return d.meter }
+func (d *Dialer) Meter() *meter.Meter { return d.meter }
 
 // Dial returns the client of the peer at the address.
 func (d *Dialer) Dial(address string) peerpb.Peer {
--- a/link/meter.go
+++ b/meter/meter.go
@@ -1,4 +1,11 @@
-package link
+// Package meter counts the bytes of connections.
+//
+// # Usage
+//
+//	counted := &meter.Meter{}
+//	transport := &http.Transport{DialContext: counted.DialContext}
+//	fmt.Println(counted.Sent(), counted.Received())
+package meter
 
 import (
 	"context"
@@ -7,7 +14,7 @@
 	"time"
 )
 
-// dialTimeout is the greatest time of one connect to a peer.
+// dialTimeout is the greatest time of one connect.
 const dialTimeout = time.Second
 
 // Meter counts the bytes of connections. It is safe for concurrent use.
--- a/node/provide.go
+++ b/node/provide.go
@@ -92,6 +92,7 @@
 	return entry.NewMetrics(map[string]func() any{
 		"peer_bytes_sent":     func() any { return dialer.Meter().Sent() },
 		"peer_bytes_received": func() any { return dialer.Meter().Received() },
+		"engine_bytes":        func() any { return engines.Meter().Sent() + engines.Meter().Received() },
 		"engine_reports":      func() any { return engines.Reports() },
 		"waiting":             func() any { waiting, _ := desk.Waiting(); return waiting },
 		"running":             func() any { _, running := desk.Waiting(); return running },
