--- a/entry/stream.go
+++ b/entry/stream.go
@@ -51,22 +51,20 @@
 		}
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		ready := bytes.LastIndex(buffer, eventEnd)
-		if ready >= 0 {
-			ready += len(eventEnd)
-			complete, done := beforeDone(buffer[:ready])
-			result.events += bytes.Count(complete, eventEnd)
-			if _, err := w.Write(complete); err != nil {
+		ready, events, done := wholeEvents(buffer)
+		if ready > 0 {
+			result.events += events
+			if _, err := w.Write(buffer[:ready]); err != nil {
 				result.err = errCallerGone
 				return result
 			}
 			_ = controller.Flush()
-			if done {
-				result.whole = true
-				return result
-			}
-			buffer = buffer[:copy(buffer, buffer[ready:])]
 		}
+		if done {
+			result.whole = true
+			return result
+		}
+		buffer = buffer[:copy(buffer, buffer[ready:])]
 		if err != nil {
 			result.err = errStreamCut
 			return result
@@ -74,16 +72,21 @@
 	}
 }
 
-// beforeDone returns the events before the last one and whether that is there.
-func beforeDone(events []byte) ([]byte, bool) {
-	if bytes.HasPrefix(events, lastData) {
-		return nil, true
-	}
-	marker := append(append([]byte(nil), eventEnd...), lastData...)
-	if at := bytes.Index(events, marker); at >= 0 {
-		return events[:at+len(eventEnd)], true
+// wholeEvents returns the length and number of the whole events at the start of
+// the buffer, up to the last event of a stream, and whether that is there.
+func wholeEvents(buffer []byte) (length, events int, done bool) {
+	for {
+		end := bytes.Index(buffer[length:], eventEnd)
+		if end < 0 {
+			return length, events, false
+		}
+		event := bytes.TrimLeft(buffer[length:length+end], "\n")
+		if bytes.HasPrefix(event, lastData) {
+			return length, events, true
+		}
+		length += end + len(eventEnd)
+		events++
 	}
-	return events, false
 }
 
 // finishStream writes the closing events of a stream.
