Resume broken streams of engines that can

Cause: a connection that broke in the middle of a stream lost the rest of an answer that the engine still had.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -181,7 +182,12 @@
 		return nil, refusal
 	}
 	if j.stream && result.response.StatusCode == http.StatusOK {
-		return nil, s.relayStream(ctx, w, j, replica, result.response)
+		again := func(offset int) tried {
+			resumed := header.Clone()
+			resumed.Set(ResumeFromHeader, strconv.Itoa(offset))
+			return s.sender.send(ctx, r, "http://"+replica.Address+r.URL.Path, resumed, j.body, true)
+		}
+		return nil, s.relayStream(ctx, w, j, replica, result.response, again)
 	}
 	body, err := readWhole(result.response)
 	if err != nil {
@@ -202,10 +208,9 @@
 	}
 }
 
-func (s *Server) relayStream(ctx context.Context, w http.ResponseWriter, j *job, replica cells.Replica, response *http.Response) *cardamom.Refusal {
-	defer response.Body.Close()
+func (s *Server) relayStream(ctx context.Context, w http.ResponseWriter, j *job, replica cells.Replica, response *http.Response, again resumer) *cardamom.Refusal {
 	first := &firstWrite{ResponseWriter: w, job: j}
-	result := relay(first, response.Body)
+	result := relayResumed(ctx, first, response, again)
 	s.options.Metrics.events.Add(int64(result.events))
 	switch {
 	case result.whole:
--- a/fakes/complete.go
+++ b/fakes/complete.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -64,13 +65,39 @@
 	defer func() { <-r.slots }()
 	r.begin(s)
 	defer r.end(s)
-	if key := request.Header.Get("Cardamom-Key"); key != "" {
+	offset, ok := r.resume(w, request)
+	if !ok {
+		return
+	}
+	if key := request.Header.Get("Cardamom-Key"); key != "" && offset == 0 {
 		r.side.tell(EventWire{Kind: "run", Key: key, Runner: r.options.ID})
 	}
 	if strings.Contains(wire.prompt(), poisonWord) && r.options.Crash != nil {
 		r.options.Crash()
 	}
-	r.generate(ctx, w, wire)
+	r.generate(ctx, w, wire, offset)
+}
+
+// resume returns from which token on a stream is generated. A stream can be
+// resumed if this run of the runner has begun it.
+func (r *Runner) resume(w http.ResponseWriter, request *http.Request) (int, bool) {
+	if !r.options.Resumable {
+		return 0, true
+	}
+	w.Header().Set("Engine-Resumable", "1")
+	id := request.Header.Get("Cardamom-Request")
+	offset, err := strconv.Atoi(request.Header.Get("Engine-Resume-From"))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.streams[id] = true
+		return 0, true
+	}
+	if !r.streams[id] {
+		w.WriteHeader(http.StatusGone)
+		return 0, false
+	}
+	return offset, true
 }
 
 func (r *Runner) enter(model string) (*seated, bool) {
@@ -110,7 +137,7 @@
 	s.waiting--
 }
 
-func (r *Runner) generate(ctx context.Context, w http.ResponseWriter, wire completionWire) {
+func (r *Runner) generate(ctx context.Context, w http.ResponseWriter, wire completionWire, offset int) {
 	if !pause.For(ctx, r.options.Prefill) {
 		panic(http.ErrAbortHandler)
 	}
@@ -124,8 +151,8 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	prompt := wire.prompt()
-	for n := range wire.MaxTokens {
-		if n > 0 && !pause.For(ctx, r.options.Interval) {
+	for n := offset; n < wire.MaxTokens; n++ {
+		if n > offset && !pause.For(ctx, r.options.Interval) {
 			panic(http.ErrAbortHandler)
 		}
 		chunk, err := json.Marshal(map[string]any{
--- a/fakes/fleet/deployment.go
+++ b/fakes/fleet/deployment.go
@@ -75,6 +75,7 @@
 	PrefillMS      float64        `json:"prefill_ms,omitempty"`
 	IntervalMS     float64        `json:"interval_ms,omitempty"`
 	WorkMS         float64        `json:"work_ms,omitempty"`
+	Resumable      bool           `json:"resumable,omitempty"`
 	ReportLagMS    int64          `json:"report_lag_ms,omitempty"`
 }
 
@@ -166,7 +167,7 @@
 				ID: p.ID, Service: u.Service, Place: p.Place, Address: "127.0.0.1:0", Weights: weights,
 				MemoryMB: u.MemoryMB, Slots: max(u.Slots, 1), Fencing: u.Fencing, CacheMB: u.CacheMB,
 				DiskMBPerSec: or(u.DiskMBPerSec, defaultDiskSpeed), MemoryMBPerSec: or(u.MemoryMBPerSec, defaultMemSpeed),
-				Prefill: millis(u.PrefillMS), Interval: millis(u.IntervalMS), ReportLag: millis(float64(u.ReportLagMS)),
+				Prefill: millis(u.PrefillMS), Interval: millis(u.IntervalMS), ReportLag: millis(float64(u.ReportLagMS)), Resumable: u.Resumable,
 			})
 		}
 	}
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -33,6 +33,8 @@
 	// Prefill is the time to the first token, Interval that between tokens.
 	Prefill  time.Duration
 	Interval time.Duration
+	// Resumable tells that streams can be resumed for a while.
+	Resumable bool
 	// ReportLag is how old the reported load is.
 	ReportLag time.Duration
 	// Crash is called by a request that kills the engine.
@@ -73,6 +75,7 @@
 	orders  []string
 	seen    map[string]bool
 	lagged  []lagged
+	streams map[string]bool
 }
 
 // lagged is the load at an earlier time.
@@ -87,7 +90,7 @@
 	r := &Runner{
 		options: options, boot: bootNumber(time.Now()), side: newSide(options.Weights), ctx: ctx, cancel: cancel,
 		slots: make(chan struct{}, options.Slots), models: make(map[string]*seated),
-		cached: make(map[string]int), sizes: make(map[string]int), seen: make(map[string]bool),
+		cached: make(map[string]int), sizes: make(map[string]int), seen: make(map[string]bool), streams: make(map[string]bool),
 	}
 	server, err := serve(options.Address, r.handler())
 	if err != nil {
--- a/proof/outcome_test.go
+++ b/proof/outcome_test.go
@@ -113,6 +113,34 @@
 	})
 })
 
+var _ = Describe("a stream that breaks off", func() {
+	cut := func(file string) (*site, caller.Result) {
+		s := startSite(file)
+		s.ask(request("solo-1"))
+		for _, runner := range s.deployment.Runners("") {
+			Expect(s.Faults(runner.ID, fakes.Fault{Path: "/v1/", Kind: "cut", Count: 2, Bytes: 700})).To(Succeed())
+		}
+		r := request("solo-1")
+		r.Tokens, r.Key = 40, "stream"
+		return s, s.caller.Do(s.ctx, r)
+	}
+
+	It("is resumed without a doubled or missing token if its engine can", func() {
+		s, result := cut("deployment.jsonc")
+		Expect(result.Outcome).To(Equal(cardamom.Served), result.Reason)
+		Expect(result.Whole).To(BeTrue())
+		Expect(s.truth().Runs["stream"]).To(Equal(1))
+	})
+
+	It("is told as one that may have run if its engine can't", func() {
+		s, result := cut("deployment-unfenced.jsonc")
+		Expect(result.Outcome).To(Equal(cardamom.MayHaveRun))
+		Expect(result.Whole).To(BeFalse())
+		Expect(result.Crossed).To(BeFalse())
+		Expect(s.truth().Runs["stream"]).To(Equal(1))
+	})
+})
+
 var _ = Describe("leaving", func() {
 	var s *site
 	BeforeEach(func() { s = startSite("deployment.jsonc") })
