Keep models seen seldom as their class is kept

Change: gaps of all models with a profile are pooled for those with few of their own. Conclusion: open until measured.

--- a/cells/cell.go
+++ b/cells/cell.go
@@ -69,6 +69,7 @@
 	orders    uint64
 	upstreams map[cardamom.UpstreamID]*upstream
 	history   map[cardamom.ModelID]*keep.History
+	classes   map[string]*keep.History
 	watchers  map[cardamom.InstanceID]*watcher
 	exports   *exports
 	// loadPerMB is the average time in nanoseconds of loading one MB.
@@ -83,6 +84,7 @@
 		id: id, owner: owner, document: document,
 		upstreams: make(map[cardamom.UpstreamID]*upstream),
 		history:   make(map[cardamom.ModelID]*keep.History),
+		classes:   make(map[string]*keep.History),
 		watchers:  make(map[cardamom.InstanceID]*watcher),
 		exports:   newExports(),
 	}
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -170,7 +170,7 @@
 	if !known || !ok {
 		return false
 	}
-	return strategy.Plan(history, model.Profile().KeepFor()).Ahead(r.now.Sub(history.LastUse()))
+	return strategy.Plan(history, r.cell.classOf(model), model.Profile().KeepFor()).Ahead(r.now.Sub(history.LastUse()))
 }
 
 // crowded tells whether the waiting requests take longer to serve with the
@@ -320,7 +320,7 @@
 	if history.LastUse().IsZero() {
 		history.Use(r.now)
 	}
-	return !strategy.Plan(history, model.Profile().KeepFor()).Warm(r.now.Sub(history.LastUse()))
+	return !strategy.Plan(history, r.cell.classOf(model), model.Profile().KeepFor()).Warm(r.now.Sub(history.LastUse()))
 }
 
 // inUse tells whether the replica has requests or is the base of a loaded adapter.
--- a/cells/use.go
+++ b/cells/use.go
@@ -5,6 +5,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/keep"
+	"cardamomcourse.example/cardamom/policy"
 )
 
 // ageStep is how much later a waiting request counts as arrived for each step
@@ -70,12 +71,31 @@
 
 // touch records a use of the model and of its base.
 func (c *Cell) touch(model cardamom.ModelID, now time.Time) {
-	c.historyOf(model).Use(now)
+	c.record(model, now)
 	if known, ok := c.document.Model(model); ok && known.Base() != "" {
-		c.historyOf(known.Base()).Use(now)
+		c.record(known.Base(), now)
 	}
 }
 
+// record adds a use to the histories of the model and of its profile.
+func (c *Cell) record(model cardamom.ModelID, now time.Time) {
+	gap := c.historyOf(model).Use(now)
+	if known, ok := c.document.Model(model); ok {
+		c.classOf(known).Add(gap)
+	}
+}
+
+// classOf returns the gaps of all models with the model's profile.
+func (c *Cell) classOf(model *policy.Model) *keep.History {
+	name := model.Profile().Name()
+	class, ok := c.classes[name]
+	if !ok {
+		class = &keep.History{}
+		c.classes[name] = class
+	}
+	return class
+}
+
 func (c *Cell) historyOf(model cardamom.ModelID) *keep.History {
 	history, ok := c.history[model]
 	if !ok {
--- a/cmd/cardload/capacity.go
+++ b/cmd/cardload/capacity.go
@@ -66,6 +66,7 @@
 		{"decide_by_models", "µs", "models", modelSizes, decideByModels},
 		{"decide_by_upstreams", "µs", "upstreams", upstreamSizes, decideByUpstreams},
 		{"report_by_upstreams", "µs", "upstreams", upstreamSizes, reportByUpstreams},
+		{"report_size", "bytes", "models", []float64{2, 4, 8, 16}, reportSize},
 		{"cell_memory", "bytes", "upstreams", upstreamSizes, cellMemory},
 		{"ask_time", "µs", "claims", claimSizes, askTime},
 		{"claim_memory", "bytes", "claims", claimSizes, claimMemory},
--- a/cmd/cardload/frontier.go
+++ b/cmd/cardload/frontier.go
@@ -32,6 +32,7 @@
 	P95    float64 `json:"first_p95_ms"`
 	P99    float64 `json:"first_p99_ms"`
 	Loads  int     `json:"loads"`
+	Cold   float64 `json:"cold_share"`
 	Idle   float64 `json:"idle_accelerator_s"`
 }
 
@@ -138,6 +139,7 @@
 	series := e.report.Series["all"]
 	p.Count, p.Served, p.Loads = series.Count, series.Outcomes["served"], e.report.Loads
 	p.P50, p.P95, p.P99 = series.FirstP50, series.FirstP95, series.FirstP99
+	p.Cold = float64(series.Cold) / float64(series.Count)
 	p.Idle = truth.LoadedSeconds - truth.BusySeconds
 	if len(e.report.Violations) > 0 {
 		return eris.Errorf("%s: %s", p.Name, e.report.Violations[0])
--- a/cmd/cardload/page.go
+++ b/cmd/cardload/page.go
@@ -27,8 +27,6 @@
 	exchangeSeconds = 1
 	// callBytes is what a Twirp call costs beside its messages.
 	callBytes = 700
-	// reportBytes is the size of an engine's report with its headers.
-	reportBytes = 1500
 	// followersPerCell and cellsPerNode follow from 410 nodes in 6 places.
 	followersPerCell = nodes / placesCount
 	cellsPerNode     = cellsCount / placesCount
@@ -36,8 +34,8 @@
 	changesPerReplica = 4
 	// maxWatchSeconds is the longest hold of a watch.
 	maxWatchSeconds = 10
-	// calmReportSeconds is the pause between reports of a calm engine.
-	calmReportSeconds = 2
+	// inUseSeconds is the pause between reports of an engine in use.
+	inUseSeconds = 2
 	// decidesPerSec is how often a held cell is looked at.
 	decidesPerSec = 10
 	// looksPerSec is how often all holds are looked at.
@@ -71,29 +69,37 @@
 	heldCells := 1.0
 	wakes := targetModels * wakeShare / secondsPerHour
 	exchanges := 4.0 / exchangeSeconds
+	reportBytes := (s["report_size"].at(loadedPerRunner) + callBytes/2) * targetUpstreams / inUseSeconds
+	exchangeBytes := (s["digest_size"].last() + callBytes) * exchanges
+	spreadBytes := s["document_packed"].last() * changesPerDay / secondsPerDay
+	claimBytes := float64(keyedPerSec) / nodes * 4 * callBytes
+	followBytes := float64(cellsPerNode)/maxWatchSeconds*callBytes + wakes*changesPerReplica/cellsCount*cellsPerNode*callBytes
+	ordinary := exchangeBytes + spreadBytes + claimBytes + followBytes
 	watchBytes := float64(followersPerCell) / maxWatchSeconds * callBytes
 	return []line{
 		{"peer exchange", "processor", "exchange_time(410) × 4/s", micros(s["exchange_time"].last(), exchanges), cpuBudget, "% core", "digests of bounded size, least told first"},
-		{"peer exchange", "bytes", "(digest_size(410) + call) × 4/s", (s["digest_size"].last() + callBytes) * exchanges, bytesBudget, "B/s", "fixed budget per digest"},
+		{"peer exchange", "bytes", "(digest_size(410) + call) × 4/s", exchangeBytes, bytesBudget, "B/s", "fixed budget per digest"},
 		{"peer exchange", "memory", "member_memory(410)", s["member_memory"].last(), memoryBudget, "B", "one entry a member and hold"},
 		{"holds", "processor, others'", "look_time(410) × 124 resources × 5/s", micros(s["look_time"].last(), resources*looksPerSec), cpuBudget, "% core", "members are ranked only where it matters"},
 		{"holds", "processor, own", "rank_time(410) × 0.6 resources × 5/s", micros(s["rank_time"].last(), resources*2/nodes*looksPerSec), cpuBudget, "% core", "plain function for each row"},
 		{"holds", "table writes, a place of 68 nodes lost", "68 × 124 × 2 / 410 × 2 writes in 60 s", 68.0 * resources * 2 / nodes * 2 / 60, writesBudget, "writes/s", "only changes of holder or witness are written"},
 		{"cell holder", "processor, deciding", "decide_by_models(6,900) × 10/s × 1 cell", micros(s["decide_by_models"].last(), decidesPerSec*heldCells), cpuBudget, "% core", "plain function over one cell"},
-		{"cell holder", "processor, reports", "report_by_upstreams(16) × 16/2 s", micros(s["report_by_upstreams"].at(targetUpstreams), targetUpstreams/calmReportSeconds), cpuBudget, "% core", "calm engines are asked each 2 s"},
-		{"cell holder", "bytes, reports", "16/2 s × 1,500 B", targetUpstreams / calmReportSeconds * reportBytes, bytesBudget, "B/s", "calm engines are asked each 2 s"},
+		{"cell holder", "processor, reports", "report_by_upstreams(16) × 16/2 s", micros(s["report_by_upstreams"].at(targetUpstreams), targetUpstreams/inUseSeconds), cpuBudget, "% core", "each engine in use asked each 125 ms × 16"},
+		{"cell holder", "bytes, reports", "(report_size(8) + headers) × 16 / 2 s", reportBytes, bytesBudget, "B/s", "each engine in use asked each 125 ms × 16"},
 		{"cell holder", "bytes, watches", "68 followers / 10 s × call", watchBytes, bytesBudget, "B/s", "long poll; the hold grows with the followers"},
 		{"cell holder", "memory", "cell_memory(16)", s["cell_memory"].at(targetUpstreams), memoryBudget, "B", "only held cells are known in detail"},
 		{"follower", "bytes, idle", "10 cells / 10 s × call", float64(cellsPerNode) / maxWatchSeconds * callBytes, bytesBudget, "B/s", "long poll"},
 		{"follower", "bytes, changes", "1.09 wakes/s × 4 / 60 cells × 10 cells × call", wakes * changesPerReplica / cellsCount * cellsPerNode * callBytes, bytesBudget, "B/s", "deltas with sequence numbers"},
-		{"profile spread", "bytes", "document_packed(6,900) × 3,900/day", s["document_packed"].last() * changesPerDay / secondsPerDay, bytesBudget, "B/s", "compressed documents, from the table or a peer"},
+		{"profile spread", "bytes", "document_packed(6,900) × 3,900/day", spreadBytes, bytesBudget, "B/s", "compressed documents, from the table or a peer"},
 		{"profile spread", "processor", "parse_time(6,900) × 3,900/day", s["parse_time"].last() / 1000 * changesPerDay / secondsPerDay * perCent, cpuBudget, "% core", "one parse for each revision"},
 		{"profile spread", "memory", "2 × document_memory(6,900)", 2 * s["document_memory"].last(), memoryBudget, "B", "one document, two while it changes"},
 		{"platform reads", "table reads", "2 reads / 4.1 s × 410", 2 / 4.1 * nodes, readsBudget, "reads/s", "the pause grows with the members"},
-		{"claims", "processor", "ask_time(100,000) × 600/s / 410 × 2", micros(s["ask_time"].last(), keyedPerSec/nodes*2), cpuBudget, "% core", "owner and witness in memory"},
+		{"claims", "processor", "ask_time(100,000) × 600/s / 410 × 2", micros(s["ask_time"].last(), float64(keyedPerSec)/nodes*2), cpuBudget, "% core", "owner and witness in memory"},
 		{"claims", "memory", "claim_memory each × 600/s × 600 s / 410 × 2", s["claim_memory"].Each * keyedPerSec * keepSeconds / nodes * 2, memoryBudget, "B", "bounded by the keep time"},
-		{"claims", "bytes", "600/s / 410 × 4 calls × call", float64(keyedPerSec) / nodes * 4 * callBytes, bytesBudget, "B/s", "calls that meet share a record"},
-		{"addresses", "processor", "address_time(410) × 6,000/s / 410 if none is kept", micros(s["address_time"].last(), requestsPerSec/nodes), cpuBudget, "% core", "callers keep answers 5 s"},
+		{"claims", "bytes", "600/s / 410 × 4 calls × call", claimBytes, bytesBudget, "B/s", "calls that meet share a record"},
+		{"ordinary node", "bytes, sum", "exchange + spread + claims + follower", ordinary, bytesBudget, "B/s", "the lines above"},
+		{"node that holds a cell", "bytes, sum", "ordinary + reports + watches", ordinary + reportBytes + watchBytes, bytesBudget, "B/s", "60 of 410 nodes"},
+		{"addresses", "processor", "address_time(410) × 6,000/s / 410 if none is kept", micros(s["address_time"].last(), float64(requestsPerSec)/nodes), cpuBudget, "% core", "callers keep answers 5 s"},
 		{"weight store", "starts", "6,900 × 57% / 3,600 s", wakes, 3, "loads/s", "streams shared among cells, by urgency"},
 		{"whole instance, idle", "processor, at 32 instances", "idle_cpu(32)", s["idle_cpu"].last(), cpuBudget, "% core", "measured on processes"},
 		{"whole instance, idle", "memory, at 32 instances", "idle_memory(32)", s["idle_memory"].last() * 1e6, memoryBudget, "B", "measured on processes"},
--- a/cmd/cardload/report.go
+++ b/cmd/cardload/report.go
@@ -15,6 +15,8 @@
 const (
 	// lateBy is how far past its deadline an answer counts as late.
 	lateBy = 100 * time.Millisecond
+	// coldAfter is the time to the first token from which on a request counts as cold.
+	coldAfter = 100 * time.Millisecond
 	// histogramMax is the longest time in microseconds that is recorded.
 	histogramMax = 600_000_000
 	// histogramDigits is the precision of recorded times.
@@ -34,6 +36,7 @@
 	TotalP99   float64        `json:"total_p99_ms"`
 	GapP95     float64        `json:"gap_p95_ms"`
 	ByInstance map[string]int `json:"by_instance"`
+	Cold       int            `json:"cold"`
 	Late       int            `json:"late"`
 	Cut        int            `json:"cut"`
 	Crossed    int            `json:"crossed"`
@@ -92,6 +95,9 @@
 	}
 	r.judgeOne(s, request, result)
 	if result.Outcome == cardamom.Served {
+		if result.First > coldAfter {
+			s.Cold++
+		}
 		_ = s.first.RecordValue(result.First.Microseconds())
 		_ = s.total.RecordValue(result.Total.Microseconds())
 		for _, gap := range result.Gaps {
--- a/cmd/cardload/slopes.go
+++ b/cmd/cardload/slopes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"strings"
@@ -12,6 +13,7 @@
 	"cardamomcourse.example/cardamom/cells"
 	"cardamomcourse.example/cardamom/claim"
 	"cardamomcourse.example/cardamom/engine"
+	"cardamomcourse.example/cardamom/fakes"
 	"cardamomcourse.example/cardamom/hold"
 	"cardamomcourse.example/cardamom/peers"
 	"cardamomcourse.example/cardamom/policy"
@@ -253,6 +255,22 @@
 	return max(whole-document, 0), failed
 }
 
+// reportSize is the size in bytes of an engine's report with so many models
+// loaded, as the stand-ins send it.
+func reportSize(loaded int) (float64, error) {
+	wire := engine.ReportWire{Incarnation: 1 << 60, Fence: 1 << 50, Fencing: true, MemoryMB: 640000, Slots: 32, Cached: make(map[string]int)}
+	for n := range loaded {
+		order := fmt.Sprintf("entry-place-1-17-1796330000000000000-%d-%d", 1000+n, n)
+		wire.Loaded = append(wire.Loaded, engine.LoadedWire{Model: fmt.Sprintf("adapter-%05d", n), Ready: true, OrderID: order, MemoryMB: 16000, Running: 4})
+		wire.Cached[fmt.Sprintf("adapter-%05d", n)] = 2
+	}
+	for n := range fakes.OrdersKept {
+		wire.Orders = append(wire.Orders, fmt.Sprintf("entry-place-1-17-1796330000000000000-%d-%d", 1000+n, n))
+	}
+	body, err := json.Marshal(wire)
+	return float64(len(body)), err
+}
+
 func filledShard(claims int) *claim.Shard {
 	shard := claim.NewShard(time.Hour)
 	for n := range claims {
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -57,6 +57,7 @@
 	platform platformHello
 	admin    string
 	fronts   map[string]string
+	ports    map[string]bool
 	client   *http.Client
 
 	mu        sync.Mutex
@@ -70,7 +71,7 @@
 // instance is ready.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f := &Fleet{
-		options: options, fronts: make(map[string]string), processes: make(map[string]*Process),
+		options: options, fronts: make(map[string]string), ports: make(map[string]bool), processes: make(map[string]*Process),
 		callers: make(map[string]string), peers: make(map[string]string), places: make(map[string]string),
 		client: &http.Client{Timeout: 10 * time.Second},
 	}
@@ -108,7 +109,7 @@
 func (f *Fleet) startProxies() error {
 	targets := map[string]string{"table": f.platform.Table, "list": f.platform.List}
 	for _, id := range f.upstreamIDs() {
-		port, err := FreePort()
+		port, err := f.freePort()
 		if err != nil {
 			return err
 		}
@@ -116,7 +117,7 @@
 	}
 	args := []string{"proxy"}
 	for id, target := range targets {
-		front, err := FreePort()
+		front, err := f.freePort()
 		if err != nil {
 			return err
 		}
@@ -132,6 +133,24 @@
 	return nil
 }
 
+// freePort returns an address that nothing listens on and that this fleet has
+// not chosen before.
+func (f *Fleet) freePort() (string, error) {
+	for {
+		address, err := FreePort()
+		if err != nil {
+			return "", err
+		}
+		f.mu.Lock()
+		taken := f.ports[address]
+		f.ports[address] = true
+		f.mu.Unlock()
+		if !taken {
+			return address, nil
+		}
+	}
+}
+
 func (f *Fleet) upstreamIDs() []string {
 	var ids []string
 	for _, o := range f.options.Deployment.Runners("") {
@@ -196,11 +215,11 @@
 
 // AddInstance starts an instance and puts it on the list.
 func (f *Fleet) AddInstance(instance Placed) error {
-	caller, err := FreePort()
+	caller, err := f.freePort()
 	if err != nil {
 		return err
 	}
-	peer, err := FreePort()
+	peer, err := f.freePort()
 	if err != nil {
 		return err
 	}
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -41,8 +41,8 @@
 	Crash func() `json:"-"`
 }
 
-// ordersKept is how many accepted orders a report lists.
-const ordersKept = 256
+// OrdersKept is how many accepted orders a report lists.
+const OrdersKept = 32
 
 // seated is a model on a runner.
 type seated struct {
@@ -203,7 +203,7 @@
 func (r *Runner) accept(id string) {
 	r.seen[id] = true
 	r.orders = append(r.orders, id)
-	if len(r.orders) > ordersKept {
+	if len(r.orders) > OrdersKept {
 		r.orders = r.orders[1:]
 	}
 }
--- a/keep/history.go
+++ b/keep/history.go
@@ -31,20 +31,30 @@
 // LastUse returns when the model was last in use.
 func (h *History) LastUse() time.Time { return h.lastUse }
 
-// Use records that the model is in use. A gap is what passed since the last
-// use, if it is longer than the shortest bucket.
-func (h *History) Use(now time.Time) {
+// Use records that the model is in use and returns the gap since the last use,
+// 0 if it is none.
+func (h *History) Use(now time.Time) time.Duration {
 	gap := now.Sub(h.lastUse)
-	if !h.lastUse.IsZero() && gap > bucketBase {
-		for i := range h.counts {
-			h.counts[i] *= forget
-		}
-		h.counts[bucketOf(gap)]++
-		h.planned = false
+	if h.lastUse.IsZero() || gap <= bucketBase {
+		gap = 0
 	}
+	h.Add(gap)
 	if now.After(h.lastUse) {
 		h.lastUse = now
 	}
+	return gap
+}
+
+// Add records a gap. One shorter than the shortest bucket is none.
+func (h *History) Add(gap time.Duration) {
+	if gap <= bucketBase {
+		return
+	}
+	for i := range h.counts {
+		h.counts[i] *= forget
+	}
+	h.counts[bucketOf(gap)]++
+	h.planned = false
 }
 
 // weight returns the summed weight of the gaps seen.
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	strategy, ok := keep.Lookup("gaps")
-//	plan := strategy.Plan(history, price)
+//	plan := strategy.Plan(history, class, price)
 //	warm := plan.Warm(now.Sub(history.LastUse()))
 //
 // A strategy is looked up by the name a profile gives.
@@ -33,18 +33,18 @@
 	return p.From > 0 && idle >= p.From && idle <= p.Until
 }
 
-// Strategy returns the plan for a model. The price is the idle time that one
-// avoided cold start is worth.
+// Strategy returns the plan for a model with its history and that of all models
+// of its class. The price is the idle time that one avoided cold start is worth.
 type Strategy interface {
-	Plan(history *History, price time.Duration) Plan
+	Plan(history, class *History, price time.Duration) Plan
 }
 
 // StrategyFunc is a Strategy made of one function.
-type StrategyFunc func(history *History, price time.Duration) Plan
+type StrategyFunc func(history, class *History, price time.Duration) Plan
 
 // Plan implements Strategy.
-func (f StrategyFunc) Plan(history *History, price time.Duration) Plan {
-	return f(history, price)
+func (f StrategyFunc) Plan(history, class *History, price time.Duration) Plan {
+	return f(history, class, price)
 }
 
 // Forever is longer than any process lives.
@@ -64,19 +64,29 @@
 	}
 }
 
-func fixed(_ *History, price time.Duration) Plan { return Plan{Keep: price} }
+func fixed(_, _ *History, price time.Duration) Plan { return Plan{Keep: price} }
 
-func always(*History, time.Duration) Plan { return Plan{Keep: Forever} }
+func always(_, _ *History, _ time.Duration) Plan { return Plan{Keep: Forever} }
 
 // enoughGaps is the weight of gaps from which on they are trusted.
 const enoughGaps = 3
 
-// gaps plans for what costs least over the idle gaps seen. With few gaps it
-// keeps for the price, which costs at most twice the least possible.
-func gaps(history *History, price time.Duration) Plan {
-	if history.weight() < enoughGaps {
+// gaps plans for what costs least over the idle gaps seen. A model with few
+// gaps is kept as its class is; with few gaps of the class as well it is kept
+// for the price, which costs at most twice the least possible.
+func gaps(history, class *History, price time.Duration) Plan {
+	switch {
+	case history.weight() >= enoughGaps:
+		return planned(history, price)
+	case class.weight() >= enoughGaps:
+		return Plan{Keep: planned(class, price).Keep}
+	default:
 		return Plan{Keep: price}
 	}
+}
+
+// planned returns the plan of a history, worked out once for each gap seen.
+func planned(history *History, price time.Duration) Plan {
 	if history.planned && history.price == price {
 		return history.plan
 	}
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -56,7 +56,7 @@
 				history.Use(now)
 				gaps = append(gaps, gap)
 			}
-			got := naiveCost(gaps, strategy.Plan(history, price).Keep, price)
+			got := naiveCost(gaps, strategy.Plan(history, &keep.History{}, price).Keep, price)
 			// Buckets round a gap up by at most a fifth, and older gaps weigh less.
 			if best := naiveBest(gaps, price); got > 1.5*best {
 				t.Fatalf("cost %.0f s, best %.0f s", got, best)
@@ -65,7 +65,17 @@
 	})
 
 	It("keeps an unknown model for the price", func() {
-		Expect(strategy.Plan(&keep.History{}, time.Minute)).To(Equal(keep.Plan{Keep: time.Minute}))
+		Expect(strategy.Plan(&keep.History{}, &keep.History{}, time.Minute)).To(Equal(keep.Plan{Keep: time.Minute}))
+	})
+
+	It("keeps a model seen seldom as its class is kept", func() {
+		class := &keep.History{}
+		for range 20 {
+			class.Add(5 * time.Second)
+			class.Add(time.Hour)
+		}
+		plan := strategy.Plan(&keep.History{}, class, 10*time.Minute)
+		Expect(plan.Keep).To(BeNumerically("~", 6*time.Second, 2*time.Second))
 	})
 
 	It("lets go at once of a model whose gaps are all longer than the price", func() {
@@ -73,7 +83,7 @@
 		for n := range 10 {
 			history.Use(start.Add(time.Duration(n*n) * time.Hour))
 		}
-		Expect(strategy.Plan(history, time.Minute)).To(Equal(keep.Plan{}))
+		Expect(strategy.Plan(history, &keep.History{}, time.Minute)).To(Equal(keep.Plan{}))
 	})
 
 	It("loads ahead of a return that repeats, and only about then", func() {
@@ -81,7 +91,7 @@
 		for n := range 10 {
 			history.Use(start.Add(time.Duration(n) * time.Hour))
 		}
-		plan := strategy.Plan(history, 20*time.Minute)
+		plan := strategy.Plan(history, &keep.History{}, 20*time.Minute)
 		Expect(plan.Warm(10 * time.Minute)).To(BeFalse())
 		Expect(plan.Warm(59 * time.Minute)).To(BeTrue())
 		Expect(plan.Warm(90 * time.Minute)).To(BeFalse())
