Refuse in the queue what can't finish, not what can't half finish

Ruled out: idle slots (windows were full throughout). Change: a waiting request is refused once less than 1.1 service times remain. An unload also needs the witness's word, so that a holder that was succeeded sends none.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -26,8 +26,8 @@
 	// ageStep is how much later a request counts as arrived for each step of
 	// priority, so that patient work is overtaken for at most nine steps.
 	ageStep = 5 * time.Second
-	// sweepMargin is the share of the service time that must remain.
-	sweepMargin = 0.5
+	// sweepMargin is how much time must remain, as a multiple of the service time.
+	sweepMargin = 1.1
 	// maxRetryAfter bounds when a refused caller is told to come back.
 	maxRetryAfter = 30 * time.Second
 )
--- a/ctrl/cells.go
+++ b/ctrl/cells.go
@@ -209,9 +209,13 @@
 	}
 	l.start(func(ctx context.Context) event {
 		result := sent{resource: resource, upstream: command.Upstream, order: command.Order.ID}
-		if command.Record && recorder != nil {
-			entry := entryOf(command.Upstream, command.Order)
-			record := hold.Record{Resource: resource, Fence: fence, Entries: []hold.Entry{entry}}
+		if recorder != nil && command.Order.Kind != engine.OrderFence {
+			// An unload has nothing to record, but a holder that was succeeded
+			// must not send it either.
+			record := hold.Record{Resource: resource, Fence: fence}
+			if command.Record {
+				record.Entries = []hold.Entry{entryOf(command.Upstream, command.Order)}
+			}
 			if err := recorder.Record(ctx, record); err != nil {
 				result.result = cells.ErrNotRecorded
 				return result
