Forget followers that have left or are silent

An instance that had held a foreign cell and handed it home stopped following it, but the holder waited for its word on the drain until it expired after 30 s. Ruled out: the late order (it was taken as known), the keep time (1 s). Change: a follower says when it leaves, and one that is not alive is forgotten.

--- a/cells/safety_test.go
+++ b/cells/safety_test.go
@@ -137,6 +137,18 @@
 		Expect(w.cell.Count("b1")).To(Equal(1))
 	})
 
+	It("does not wait for a follower that has left", func() {
+		w.uses = []cells.Use{{Model: "c", Waiting: 1, Since: w.now}}
+		settle(w, 5)
+		w.cell.Used(cells.Watch{Instance: "stranger", Seq: 1}, w.now)
+		w.uses = nil
+		settle(w, 20)
+		Expect(w.cell.Count("c")).To(Equal(1))
+		w.cell.Unwatch("stranger")
+		settle(w, 3)
+		Expect(w.cell.Count("c")).To(Equal(0))
+	})
+
 	It("lets go of an idle model after its keep time", func() {
 		w.uses = []cells.Use{{Model: "c", Waiting: 1, Since: w.now}}
 		settle(w, 5)
--- a/cells/use.go
+++ b/cells/use.go
@@ -108,8 +108,8 @@
 // Unwatch forgets an instance that no longer follows the cell.
 func (c *Cell) Unwatch(instance cardamom.InstanceID) { delete(c.watchers, instance) }
 
-// Watchers returns how many instances follow the cell.
-func (c *Cell) Watchers() int { return len(c.watchers) }
+// Watchers returns the instances that follow the cell, in order of name.
+func (c *Cell) Watchers() []cardamom.InstanceID { return sortedKeys(c.watchers) }
 
 // demand is the use of one model over all watchers.
 type demand struct {
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -125,6 +125,7 @@
 
 // run watches the cell's holder until ctx ends.
 func (f *follow) run(ctx context.Context, l *Loop) {
+	defer f.leave(l)
 	var epoch, seq uint64
 	for ctx.Err() == nil {
 		reply, err := f.watch(ctx, l, epoch, seq)
@@ -143,6 +144,16 @@
 	}
 }
 
+// leave tells the holder that the instance follows the cell no longer.
+func (f *follow) leave(l *Loop) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), tellTimeout)
+	defer cancel()
+	request := &peerpb.WatchRequest{Cell: string(f.cell), Instance: string(l.peersParty().ID()), Leave: true}
+	if _, err := l.watchHolder(ctx, f.row, request); err != nil {
+		l.options.Logger.Debug("leave_not_told", "cell", f.cell, "error", err)
+	}
+}
+
 // pause waits a little, or for a new holder.
 func (f *follow) pause(ctx context.Context) {
 	timer := time.NewTimer(watchPause)
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -184,6 +184,9 @@
 		l.looked = now
 		l.lookAtHolds(now)
 		l.syncFollows(now)
+		for _, held := range l.cells {
+			l.dropSilent(held, now)
+		}
 	}
 	for _, held := range l.cells {
 		l.decide(held, now)
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -49,14 +49,31 @@
 		e.reply <- &peerpb.WatchReply{NotHolder: true}
 		return
 	}
+	if e.request.GetLeave() {
+		held.cell.Unwatch(cardamom.InstanceID(e.request.GetInstance()))
+		e.reply <- &peerpb.WatchReply{}
+		return
+	}
 	held.cell.Used(watchDomain(e.request, now), now)
 	held.dirty = true
-	patience := min(max(watchHold, time.Duration(held.cell.Watchers())*watchHoldPerFollower), maxWatchHold)
+	patience := min(max(watchHold, time.Duration(len(held.cell.Watchers()))*watchHoldPerFollower), maxWatchHold)
 	e.until = now.Add(min(time.Duration(e.request.GetHoldMs())*time.Millisecond, patience))
 	held.parked = append(held.parked, e)
 	l.decide(held, now)
 }
 
+// dropSilent forgets the followers that are not heard of. What they have in
+// progress the engines report, and what they send to a replica that is gone the
+// engine refuses as not run.
+func (l *Loop) dropSilent(held *heldCell, now time.Time) {
+	members := l.peers.At(now)
+	for _, id := range held.cell.Watchers() {
+		if !members.Alive(members.Current(id)) {
+			held.cell.Unwatch(id)
+		}
+	}
+}
+
 // answerParked answers the watches for which there is news or whose time is up.
 func (l *Loop) answerParked(held *heldCell, now time.Time) {
 	kept := held.parked[:0]
