--- a/cmd/cardload/slopes.go
+++ b/cmd/cardload/slopes.go
@@ -56,12 +56,16 @@
 	}
 	for n := range cellsCount {
 		resource := hold.Resource(fmt.Sprintf("cell/llm/place-%d/%d", n%placesCount, n/placesCount))
-		holder := hold.NewParty(memberInstance(n%members).ID, 1)
-		s.LearnHold(hold.NewRow(resource, holder, hold.NewParty(memberInstance((n+1)%members).ID, 1), uint64(n+1), 0))
+		s.LearnHold(hold.NewRow(resource, memberParty(n%members), memberParty((n+1)%members), uint64(n+1), 0))
 	}
 	return s
 }
 
+// memberParty returns the run of a member that memberState knows.
+func memberParty(n int) hold.Party {
+	return hold.NewParty(memberInstance(n).ID, cardamom.Incarnation(max(n, 1)))
+}
+
 // exchangeTime is the time to compose a digest and to merge one.
 func exchangeTime(members int) (float64, error) {
 	s, other := memberState(members), memberState(members)
