Drop two fields of a follow that nothing reads

Cause: epoch and sequence number live in the follow's goroutine; the copies were written and never read. Change: removed.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -20,8 +20,6 @@
 	cell     cardamom.CellID
 	replicas map[cardamom.ModelID][]cells.Replica
 	seats    map[cells.Seat]cells.Replica
-	epoch    uint64
-	seq      uint64
 	cancel   context.CancelFunc
 	notify   chan struct{}
 	target   chan hold.Row
@@ -275,7 +273,6 @@
 
 // merge applies a holder's answer to the follow's replicas.
 func (f *follow) merge(reply *peerpb.WatchReply) {
-	f.epoch, f.seq = reply.GetFence(), reply.GetSeq()
 	if reply.GetSnapshot() {
 		f.seats = make(map[cells.Seat]cells.Replica)
 	}
