Work out a model's keep plan in one place

Cause: the look-up of the strategy and the call of its plan stood twice, for the keep time and for the return ahead; two conditions set the same due time. Change: round.plan serves both; one condition. Behaviour as before.

--- a/cells/cell.go
+++ b/cells/cell.go
@@ -370,10 +370,7 @@
 			due = min(due, loaded.ReadyIn)
 		}
 	}
-	if len(u.pending) > 0 || len(u.draining) > 0 {
-		due = 0
-	}
-	if u.reported.IsZero() {
+	if len(u.pending) > 0 || len(u.draining) > 0 || u.reported.IsZero() {
 		due = 0
 	}
 	if due == unhurried && c.sharers(u) > 0 {
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -166,11 +166,20 @@
 // returning tells whether the model is predicted to be asked for about now.
 func (r *round) returning(model *policy.Model) bool {
 	history, known := r.cell.history[model.ID()]
-	strategy, ok := keep.Lookup(model.Profile().Keep())
-	if !known || !ok {
+	if !known {
 		return false
 	}
-	return strategy.Plan(history, r.cell.classOf(model), model.Profile().KeepFor()).Ahead(r.now.Sub(history.LastUse()))
+	plan, ok := r.plan(model, history)
+	return ok && plan.Ahead(r.now.Sub(history.LastUse()))
+}
+
+// plan returns for which idle times the model's profile has it loaded.
+func (r *round) plan(model *policy.Model, history *keep.History) (keep.Plan, bool) {
+	strategy, ok := keep.Lookup(model.Profile().Keep())
+	if !ok {
+		return keep.Plan{}, false
+	}
+	return strategy.Plan(history, r.cell.classOf(model), model.Profile().KeepFor()), true
 }
 
 // crowded tells whether the waiting requests take longer to serve with the
@@ -312,15 +321,12 @@
 	if r.cell.ready(id) <= model.Profile().MinWarm() {
 		return false
 	}
-	strategy, ok := keep.Lookup(model.Profile().Keep())
-	if !ok {
-		return false
-	}
 	history := r.cell.historyOf(id)
 	if history.LastUse().IsZero() {
 		history.Use(r.now)
 	}
-	return !strategy.Plan(history, r.cell.classOf(model), model.Profile().KeepFor()).Warm(r.now.Sub(history.LastUse()))
+	plan, ok := r.plan(model, history)
+	return ok && !plan.Warm(r.now.Sub(history.LastUse()))
 }
 
 // inUse tells whether the replica has requests or is the base of a loaded adapter.
