--- a/cmd/cardd/dev.go
+++ b/cmd/cardd/dev.go
@@ -163,7 +163,7 @@
 	text := fmt.Sprintf(`{
 		"instance": "entry-%d", "place": %q, "caller_address": %q, "peer_address": %q,
 		"platform": {"table": %q, "list": %q, "poll_ms": 200},
-		"requests": {"drain_ms": 1000}, "tls": {"off": true}, "peers": {"suspect_ms": 900}
+		"requests": {"drain_ms": 1000}, "tls": {"off": true}, "peers": {"exchange_ms": 300, "suspect_ms": 900}
 	}`, n+1, devPlace, callers, peers, platform.TableAddress(), platform.ListAddress())
 	return conf.Parse("dev", []byte(text))
 }
--- /dev/null
+++ b/cmd/cardfront/main.go
@@ -0,0 +1,112 @@
+// Command cardfront runs one instance before the users' platform.
+//
+// # Usage
+//
+//	cardfront serve --settings cardfront.jsonc
+//	cardfront check --settings cardfront.jsonc
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"cardamomcourse.example/cardamom/front"
+	"cardamomcourse.example/cardamom/logs"
+)
+
+const (
+	// collectPercent lets the heap grow to this many percent of what is in use
+	// before it is collected; an instance uses little of its memory.
+	collectPercent = 400
+	// memoryShare is the part of the memory limit, in percent, from which on
+	// the heap is collected more often.
+	memoryShare = 70
+	// flushTime bounds how long the last log lines may take.
+	flushTime = 200 * time.Millisecond
+)
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use: "cardfront", Short: "Serve rarely used models before the platform", SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(serveCommand(), checkCommand())
+	return root
+}
+
+func serveCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use: "serve", Short: "Run the instance until it is told to end", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			settings, err := front.Load(path)
+			if err != nil {
+				return err
+			}
+			debug.SetGCPercent(collectPercent)
+			debug.SetMemoryLimit(settings.Memory() * memoryShare / 100)
+			out := logs.NewBounded(os.Stdout)
+			defer out.Flush(flushTime)
+			logger := logs.New(out, "cardfront", settings.LogLevel())
+			ctx, stop := untilSignal(command.Context(), path, logger)
+			defer stop()
+			return front.Build(settings, logger).Run(ctx)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "cardfront.jsonc", "settings file")
+	return command
+}
+
+// untilSignal returns a context that the first signal to end ends. A signal
+// that the settings changed has them checked and the changes logged.
+func untilSignal(parent context.Context, path string, logger hclog.Logger) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		for received := range signals {
+			if received != syscall.SIGHUP {
+				cancel()
+				continue
+			}
+			settings, err := front.Load(path)
+			if err != nil {
+				logger.Error("settings_rejected", "path", path, "reason", err)
+				continue
+			}
+			logger.SetLevel(hclog.LevelFromString(settings.LogLevel()))
+			logger.Info("settings_reloaded", "path", path, "log_level", settings.LogLevel())
+		}
+	}()
+	return ctx, cancel
+}
+
+func checkCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use: "check", Short: "Check a settings file without starting anything", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if _, err := front.Load(path); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(command.OutOrStdout(), path+": ok")
+			return err
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "cardfront.jsonc", "settings file")
+	return command
+}
--- /dev/null
+++ b/conns/socket.go
@@ -0,0 +1,58 @@
+package conns
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// userTimeout is how long written bytes may stay unacknowledged before the
+// connection fails, as happens behind a partition.
+const userTimeout = 2500 * time.Millisecond
+
+// setUserTimeout bounds how long a connection waits for a silent peer.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// quiet tells whether an idle connection is open and has nothing to read.
+// Bytes that arrive before a request belong to no request.
+func quiet(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// Reachable tells whether something listens at the address.
+func Reachable(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- /dev/null
+++ b/coord/codec.go
@@ -0,0 +1,54 @@
+package coord
+
+import (
+	"sort"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/site"
+	"cardamomcourse.example/cardamom/syncpb"
+)
+
+func encodeUpstream(upstream *site.Upstream) *syncpb.Upstream {
+	wire := &syncpb.Upstream{
+		Id: string(upstream.ID), Service: string(upstream.Service), Address: upstream.Address, DataCentre: string(upstream.Place),
+		Leaving: upstream.State == cardamom.Leaving, Slots: int32(upstream.Slots), Born: upstream.Born,
+	}
+	for model, adapters := range upstream.Held {
+		wire.Held = append(wire.Held, &syncpb.Held{Model: string(model), Adapters: adapters})
+	}
+	return wire
+}
+
+func decodeUpstream(wire *syncpb.Upstream) *site.Upstream {
+	state := cardamom.Live
+	if wire.GetLeaving() {
+		state = cardamom.Leaving
+	}
+	upstream := &site.Upstream{
+		Upstream: cardamom.Upstream{
+			ID: cardamom.UpstreamID(wire.GetId()), Service: cardamom.ServiceID(wire.GetService()),
+			Place: cardamom.Place(wire.GetDataCentre()), Address: wire.GetAddress(), State: state,
+		},
+		Born: wire.GetBorn(), Slots: int(wire.GetSlots()), Held: make(map[cardamom.ModelID][]string, len(wire.GetHeld())),
+	}
+	for _, held := range wire.GetHeld() {
+		upstream.Held[cardamom.ModelID(held.GetModel())] = held.GetAdapters()
+	}
+	return upstream
+}
+
+func encodeMembers(members []Member) []*syncpb.Member {
+	list := make([]*syncpb.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, &syncpb.Member{Instance: string(m.ID), EntryAddress: m.Entry, SyncAddress: m.Sync, Leaving: m.Leaving})
+	}
+	return list
+}
+
+func decodeMember(wire *syncpb.Member) Member {
+	return Member{ID: cardamom.InstanceID(wire.GetInstance()), Entry: wire.GetEntryAddress(), Sync: wire.GetSyncAddress(), Leaving: wire.GetLeaving()}
+}
+
+func sortMembers(members []Member) {
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+}
--- /dev/null
+++ b/coord/leasing.go
@@ -0,0 +1,174 @@
+package coord
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/steady"
+	"cardamomcourse.example/cardamom/table"
+)
+
+const (
+	// leaseKey is the row of the coordinator's lease.
+	leaseKey = "coordinator"
+	// leaseRead is the time between two reads of the lease by an instance that
+	// has no word from a coordinator.
+	leaseRead = 350 * time.Millisecond
+	// silentAfter is the age of the last exchange from which the coordinator
+	// may be lost.
+	silentAfter = 1200 * time.Millisecond
+)
+
+// wireLease is the lease row's value.
+type wireLease struct {
+	Holder   string `json:"holder"`
+	Address  string `json:"address"`
+	Released bool   `json:"released"`
+}
+
+func decodeLease(row table.Row) lease.Row {
+	var wire wireLease
+	if row.Version() == 0 || json.Unmarshal(row.Value(), &wire) != nil {
+		return lease.Row{Version: row.Version(), Released: row.Version() != 0}
+	}
+	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released}
+}
+
+func encodeLease(row lease.Row) []byte {
+	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released})
+	if err != nil {
+		return nil
+	}
+	return value
+}
+
+// stepLease reads, takes or renews the lease if that is due.
+func (l *Loop) stepLease(now time.Time) {
+	if l.tenure != nil && !l.lease.Held() {
+		l.endTenure("lease lost")
+	}
+	if l.leasing || l.leaving {
+		return
+	}
+	switch l.lease.Next(now) {
+	case lease.Take:
+		if l.heard(now) {
+			return
+		}
+		l.writeLease(now)
+	case lease.Renew:
+		if now.Sub(l.leaseAt) >= leaseRead {
+			l.writeLease(now)
+		}
+	case lease.Nothing:
+		if !l.lease.Held() && !l.heard(now) && now.Sub(l.leaseAt) >= leaseRead {
+			l.readLease(now)
+		}
+	}
+}
+
+// heard tells whether a coordinator with fresh word from the platform answered
+// lately.
+func (l *Loop) heard(now time.Time) bool {
+	return !l.position.stale && now.Sub(l.answered) < silentAfter
+}
+
+func (l *Loop) readLease(now time.Time) {
+	l.leasing, l.leaseAt = true, now
+	go func() {
+		row, err := l.options.Table.Get(l.ctx, leaseKey)
+		l.post(func(now time.Time) {
+			l.leasing = false
+			if err == nil {
+				l.lease.Observe(decodeLease(row), now)
+			}
+		})
+	}()
+}
+
+func (l *Loop) writeLease(now time.Time) {
+	l.leasing, l.leaseAt = true, now
+	expect := l.lease.Version()
+	value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync})
+	began := steady.Now()
+	go func() {
+		version, err := l.options.Table.Commit(l.ctx, table.Put(leaseKey, expect, value))
+		l.post(func(now time.Time) { l.leaseWritten(version, err, began, now) })
+	}()
+}
+
+// leaseWritten takes the result of a write of the lease.
+func (l *Loop) leaseWritten(version uint64, err error, began, now time.Time) {
+	l.leasing = false
+	switch {
+	case err == nil:
+		fresh := l.lease.Version() == 0
+		l.lease.Written(version, l.options.Sync, began)
+		if l.tenure == nil && !l.leaving {
+			l.beginTenure(fresh, now)
+		}
+	case errors.Is(err, table.ErrConflict):
+		l.logger.Info("lease_conflict", "expected", l.lease.Version())
+		l.lease.Conflict()
+		l.leaseAt = time.Time{}
+	case errors.Is(err, table.ErrUnknown):
+		// The write may have been done: the row tells.
+		l.lease.Unreachable(now)
+		l.recheck(began)
+	default:
+		l.lease.Unreachable(now)
+		l.logger.Warn("lease_not_written", "reason", err, "valid", l.lease.Valid(now))
+	}
+}
+
+// recheck reads the lease row after a write without an answer. If the row is
+// this instance's and newer, the write was done.
+func (l *Loop) recheck(began time.Time) {
+	l.leasing = true
+	go func() {
+		row, err := l.options.Table.Get(l.ctx, leaseKey)
+		l.post(func(now time.Time) {
+			l.leasing = false
+			if err != nil {
+				return
+			}
+			found := decodeLease(row)
+			if l.lease.Held() && found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
+				l.lease.Written(found.Version, l.options.Sync, began)
+				return
+			}
+			l.lease.Observe(found, now)
+		})
+	}()
+}
+
+// Leave gives up the lease, so that another instance takes it at once.
+func (l *Loop) Leave(ctx context.Context) error {
+	done := make(chan error, 1)
+	l.post(func(time.Time) {
+		l.leaving = true
+		l.tellAt = time.Time{}
+		if l.tenure == nil {
+			done <- nil
+			return
+		}
+		expect := l.lease.Version()
+		l.endTenure("leaving")
+		l.lease.Conflict()
+		value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Released: true})
+		go func() {
+			_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
+			done <- err
+		}()
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/coord/loop.go
@@ -0,0 +1,219 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/site"
+	"cardamomcourse.example/cardamom/steady"
+	"cardamomcourse.example/cardamom/table"
+)
+
+const (
+	// tickEvery is the time between two looks at what is due.
+	tickEvery = 50 * time.Millisecond
+	// quickTick is that time while orders or waiting calls are pending.
+	quickTick = 15 * time.Millisecond
+	// eventRoom is how many events may wait for the control goroutine.
+	eventRoom = 256
+)
+
+// CatalogSource follows the published configuration.
+type CatalogSource interface {
+	Next(ctx context.Context, wait time.Duration) ([]byte, *site.Catalog, error)
+	Reset()
+}
+
+// UpstreamSource follows the registrations of upstreams.
+type UpstreamSource interface {
+	Next(ctx context.Context, wait time.Duration) (site.Listing, error)
+	Reset()
+}
+
+// Engines gives orders to engines and asks for their reports.
+type Engines interface {
+	Report(ctx context.Context, upstream cardamom.Upstream) (site.Report, error)
+	Send(ctx context.Context, upstream cardamom.Upstream, order site.Order) site.OrderResult
+}
+
+// Options are what a loop needs.
+type Options struct {
+	ID        cardamom.InstanceID
+	Entry     string
+	Sync      string
+	Seeds     []string
+	Term      time.Duration
+	Fenced    bool
+	Table     table.Store
+	Catalogs  CatalogSource
+	Upstreams UpstreamSource
+	Engines   Engines
+	Decode    func(document []byte) (*site.Catalog, error)
+	Demand    *demand.Counter
+	Ledger    *poison.Ledger
+	Logger    hclog.Logger
+}
+
+// Loop is the control side of one instance.
+type Loop struct {
+	options  Options
+	logger   hclog.Logger
+	events   chan func(now time.Time)
+	board    *board
+	picture  *picture
+	lease    *lease.State
+	leasing  bool
+	leaseAt  time.Time
+	tenure   *tenure
+	peers    *peers
+	telling  bool
+	tellAt   time.Time
+	answered time.Time
+	position position
+	leaving  bool
+	changed  bool
+	wake     map[chan struct{}]bool
+	ctx      context.Context
+}
+
+// position is how far an instance has followed a coordinator.
+type position struct {
+	coordinator string
+	tenure      uint64
+	change      uint64
+	members     uint64
+	stale       bool
+}
+
+// New returns a loop that has not started.
+func New(options Options) *Loop {
+	return &Loop{
+		options: options, logger: options.Logger, events: make(chan func(time.Time), eventRoom), board: newBoard(),
+		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), ledger: options.Ledger},
+		lease:   lease.New(options.ID, options.Term), peers: newPeers(),
+		wake: make(map[chan struct{}]bool),
+	}
+}
+
+// View returns what the instance believes now.
+func (l *Loop) View() *View { return l.board.current.Load() }
+
+// Run owns the control state until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	l.ctx = ctx
+	go l.followCatalog(ctx)
+	go l.followUpstreams(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-l.events:
+			event(steady.Now())
+			l.drain()
+		case <-timer.C:
+		}
+		wait := l.step(steady.Now())
+		if !timer.Stop() {
+			select {
+			case <-timer.C:
+			default:
+			}
+		}
+		timer.Reset(wait)
+	}
+}
+
+// drain takes the events that wait, so that they are answered by one step.
+func (l *Loop) drain() {
+	for {
+		select {
+		case event := <-l.events:
+			event(steady.Now())
+		default:
+			return
+		}
+	}
+}
+
+// post gives an event to the control goroutine.
+func (l *Loop) post(event func(now time.Time)) {
+	select {
+	case l.events <- event:
+	case <-l.ctx.Done():
+	}
+}
+
+// step does what is due and returns the time until the next look.
+func (l *Loop) step(now time.Time) time.Duration {
+	l.stepLease(now)
+	l.stepTell(now)
+	wait := tickEvery
+	if l.tenure != nil && l.stepTenure(now) {
+		wait = quickTick
+	}
+	if l.changed {
+		l.changed = false
+		l.board.current.Store(l.picture.view())
+		for waiter := range l.wake {
+			select {
+			case waiter <- struct{}{}:
+			default:
+			}
+		}
+	}
+	return wait
+}
+
+// Watch returns a channel that gets a value after each change of the view, and
+// a function that ends the watch.
+func (l *Loop) Watch() (<-chan struct{}, func()) {
+	waiter := make(chan struct{}, 1)
+	l.post(func(time.Time) { l.wake[waiter] = true })
+	return waiter, func() { l.post(func(time.Time) { delete(l.wake, waiter) }) }
+}
+
+// setCatalog takes a catalog if it is newer than the known one.
+func (l *Loop) setCatalog(document []byte, catalog *site.Catalog, origin string) {
+	known := l.picture.catalog
+	if known != nil && catalog.Version() <= known.Version() {
+		return
+	}
+	l.picture.catalog, l.picture.document = catalog, document
+	l.changed = true
+	l.logger.Info("catalog_changed", "version", catalog.Version(), "origin", origin)
+	if l.tenure != nil {
+		l.tenure.setCatalog(catalog)
+	}
+}
+
+// setUpstream takes an upstream as it is listed or relayed.
+func (l *Loop) setUpstream(upstream *site.Upstream, origin string) {
+	known, ok := l.picture.upstreams[upstream.ID]
+	if ok && known.Born == upstream.Born && known.State == cardamom.Leaving && upstream.State == cardamom.Live {
+		// A leaving upstream does not come back; an older word says so.
+		return
+	}
+	if !ok || known.State != upstream.State {
+		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
+			"leaving", upstream.State == cardamom.Leaving, "orders", upstream.Orders, "origin", origin)
+	}
+	l.picture.upstreams[upstream.ID] = upstream
+	l.changed = true
+}
+
+// dropUpstream takes that an upstream is no longer listed.
+func (l *Loop) dropUpstream(id cardamom.UpstreamID, origin string) {
+	if _, ok := l.picture.upstreams[id]; ok {
+		delete(l.picture.upstreams, id)
+		l.changed = true
+		l.logger.Info("upstream_gone", "upstream", id, "origin", origin)
+	}
+}
--- /dev/null
+++ b/coord/view.go
@@ -0,0 +1,107 @@
+// Package coord is the control side of an instance: it learns the catalog and
+// the upstreams, from the platform or from the coordinating instance, and
+// coordinates itself while it holds the lease.
+//
+// One goroutine owns all control state. Traffic reads an immutable View.
+//
+// # Usage
+//
+//	loop := coord.New(options)
+//	go loop.Run(ctx)
+//	view := loop.View()
+//	outcome := loop.Await(ctx, coord.Need{Service: "muse-models", Model: "muse-01"})
+package coord
+
+import (
+	"sort"
+	"sync/atomic"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/site"
+)
+
+// Member is an instance that takes requests.
+type Member struct {
+	ID      cardamom.InstanceID
+	Entry   string
+	Sync    string
+	Leaving bool
+}
+
+// View is what an instance believes at a moment. It is immutable.
+type View struct {
+	catalog   *site.Catalog
+	services  map[cardamom.ServiceID][]*site.Upstream
+	upstreams map[cardamom.UpstreamID]*site.Upstream
+	others    map[cardamom.UpstreamID]Others
+	members   []Member
+	learned   time.Time
+}
+
+// Others is what the other instances have seen of an upstream.
+type Others struct {
+	Running  int
+	Failures int
+}
+
+// Catalog returns the newest catalog, nil before the first is known.
+func (v *View) Catalog() *site.Catalog { return v.catalog }
+
+// Upstreams returns the upstreams of a service in order of name.
+func (v *View) Upstreams(service cardamom.ServiceID) []*site.Upstream { return v.services[service] }
+
+// Upstream returns a listed upstream.
+func (v *View) Upstream(id cardamom.UpstreamID) (*site.Upstream, bool) {
+	upstream, ok := v.upstreams[id]
+	return upstream, ok
+}
+
+// Others returns what the other instances have seen of an upstream.
+func (v *View) Others(id cardamom.UpstreamID) Others { return v.others[id] }
+
+// Members returns the instances that exchanged lately.
+func (v *View) Members() []Member { return v.members }
+
+// Learned returns when the upstreams were last confirmed by the platform.
+func (v *View) Learned() time.Time { return v.learned }
+
+// board holds the current view.
+type board struct {
+	current atomic.Pointer[View]
+}
+
+func newBoard() *board {
+	b := &board{}
+	b.current.Store(&View{})
+	return b
+}
+
+// picture is the control loop's own account, from which views are made.
+type picture struct {
+	catalog   *site.Catalog
+	document  []byte
+	upstreams map[cardamom.UpstreamID]*site.Upstream
+	others    map[cardamom.UpstreamID]Others
+	members   []Member
+	learned   time.Time
+	confirmed time.Time
+	ledger    *poison.Ledger
+}
+
+func (p *picture) view() *View {
+	v := &View{
+		catalog: p.catalog, services: make(map[cardamom.ServiceID][]*site.Upstream),
+		upstreams: make(map[cardamom.UpstreamID]*site.Upstream, len(p.upstreams)),
+		others:    p.others, members: p.members, learned: p.learned,
+	}
+	for id, upstream := range p.upstreams {
+		v.upstreams[id] = upstream
+		v.services[upstream.Service] = append(v.services[upstream.Service], upstream)
+	}
+	for _, list := range v.services {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	return v
+}
--- /dev/null
+++ b/demand/demand.go
@@ -0,0 +1,168 @@
+// Package demand counts what an instance's callers ask for and what it has in
+// progress at upstreams, between two exchanges with the coordinator.
+//
+// # Usage
+//
+//	counter := demand.New()
+//	counter.Arrived(service, model)
+//	counter.Begin(upstream, service, model, "letters")
+//	counter.End(upstream, service, model)
+//	report := counter.Take()
+package demand
+
+import (
+	"sync"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+// Key names a model of a service.
+type Key struct {
+	Service cardamom.ServiceID
+	Model   cardamom.ModelID
+}
+
+// Model is what was seen of one model.
+type Model struct {
+	Arrivals int
+	Waiting  int
+	Running  int
+}
+
+// Upstream is what was seen of one upstream.
+type Upstream struct {
+	Running  int
+	Failures int
+	// Adapters that were used, as MODEL/ADAPTER.
+	Adapters map[string]bool
+}
+
+// Report is what was seen since the last one.
+type Report struct {
+	Models    map[Key]Model
+	Upstreams map[cardamom.UpstreamID]Upstream
+}
+
+// Counter counts. It is safe for concurrent use.
+type Counter struct {
+	mu        sync.Mutex
+	models    map[Key]*Model
+	upstreams map[cardamom.UpstreamID]*Upstream
+}
+
+// New returns a counter at zero.
+func New() *Counter {
+	return &Counter{models: make(map[Key]*Model), upstreams: make(map[cardamom.UpstreamID]*Upstream)}
+}
+
+func (c *Counter) model(key Key) *Model {
+	m, ok := c.models[key]
+	if !ok {
+		m = &Model{}
+		c.models[key] = m
+	}
+	return m
+}
+
+func (c *Counter) upstream(id cardamom.UpstreamID) *Upstream {
+	u, ok := c.upstreams[id]
+	if !ok {
+		u = &Upstream{}
+		c.upstreams[id] = u
+	}
+	return u
+}
+
+// Arrived counts a request for a model.
+func (c *Counter) Arrived(key Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.model(key).Arrivals++
+}
+
+// Waiting changes the number of requests that wait for a model.
+func (c *Counter) Waiting(key Key, change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.model(key).Waiting += change
+}
+
+// Begin counts a request that is sent to an upstream.
+func (c *Counter) Begin(id cardamom.UpstreamID, key Key, adapter string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.upstream(id)
+	u.Running++
+	if key.Model == "" {
+		return
+	}
+	c.model(key).Running++
+	if adapter != "" {
+		if u.Adapters == nil {
+			u.Adapters = make(map[string]bool)
+		}
+		u.Adapters[string(key.Model)+"/"+adapter] = true
+	}
+}
+
+// End counts that a request at an upstream has ended.
+func (c *Counter) End(id cardamom.UpstreamID, key Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstream(id).Running--
+	if key.Model != "" {
+		c.model(key).Running--
+	}
+}
+
+// Failed counts a failure that points to the upstream.
+func (c *Counter) Failed(id cardamom.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstream(id).Failures++
+}
+
+// Running returns how many requests are in progress at an upstream.
+func (c *Counter) Running(id cardamom.UpstreamID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u, ok := c.upstreams[id]; ok {
+		return u.Running
+	}
+	return 0
+}
+
+// Take returns the report since the last call and starts the next one.
+func (c *Counter) Take() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := Report{Models: make(map[Key]Model, len(c.models)), Upstreams: make(map[cardamom.UpstreamID]Upstream, len(c.upstreams))}
+	for key, m := range c.models {
+		report.Models[key] = *m
+		if m.Waiting == 0 && m.Running == 0 {
+			delete(c.models, key)
+			continue
+		}
+		m.Arrivals = 0
+	}
+	for id, u := range c.upstreams {
+		report.Upstreams[id] = *u
+		if u.Running == 0 {
+			delete(c.upstreams, id)
+			continue
+		}
+		u.Failures, u.Adapters = 0, nil
+	}
+	return report
+}
+
+// Return puts the counts of a report back that could not be told.
+func (c *Counter) Return(report Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, m := range report.Models {
+		if m.Arrivals > 0 {
+			c.model(key).Arrivals += m.Arrivals
+		}
+	}
+}
--- /dev/null
+++ b/front/provide.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"github.com/google/wire"
+	"github.com/hashicorp/go-hclog"
+
+	"cardamomcourse.example/cardamom/await"
+	"cardamomcourse.example/cardamom/conns"
+	"cardamomcourse.example/cardamom/coord"
+	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/platform"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/relay"
+	"cardamomcourse.example/cardamom/retry"
+	"cardamomcourse.example/cardamom/tally"
+)
+
+// ownTable is the system's table in the platform's store.
+const ownTable = "cardamom"
+
+// Set provides all parts of an instance.
+var Set = wire.NewSet(
+	provideStore, provideOptions, provideDesk, providePool, provideRelay, provideBudget,
+	coord.New, demand.New, health.New, poison.New, tally.New, newGate, New,
+)
+
+func provideStore(settings *Settings) *platform.Store { return platform.NewStore(settings.store) }
+
+func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, logger hclog.Logger) coord.Options {
+	return coord.Options{
+		ID: settings.instance, Entry: settings.listen.Entry, Sync: settings.listen.Sync, Seeds: settings.seeds,
+		Term: settings.lease, Fenced: settings.fenced, Table: platform.NewTable(store, ownTable),
+		Catalogs: platform.NewCatalogs(store, logger), Upstreams: platform.NewUpstreams(store, logger), Engines: platform.NewEngines(),
+		Decode: platform.DecodeCatalog, Demand: counter, Ledger: ledger, Logger: logger.Named("coord"),
+	}
+}
+
+func provideDesk(loop *coord.Loop) *await.Desk { return await.New(loop) }
+
+func providePool(counts *tally.Tally) *conns.Pool {
+	return conns.New(func() { counts.Add("upstream_connections_total", 1) })
+}
+
+func provideBudget(settings *Settings) *retry.Budget { return retry.New(settings.retries) }
+
+func provideRelay(settings *Settings, loop *coord.Loop, desk *await.Desk, pool *conns.Pool, counter *demand.Counter, record *health.Record, budget *retry.Budget, ledger *poison.Ledger, counts *tally.Tally, g *gate, logger hclog.Logger) *relay.Server {
+	return relay.New(relay.Options{
+		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Desk: desk, Pool: pool, Demand: counter,
+		Health: record, Budget: budget, Ledger: ledger, Counts: counts, Leaving: g.leaving.Load, Logger: logger.Named("relay"),
+	})
+}
--- /dev/null
+++ b/plan/world.go
@@ -0,0 +1,376 @@
+// Package plan decides which model engine loads and drops which model and
+// adapter. It is plain state and functions of it; orders are carried out by
+// its caller.
+//
+// The load it answers: many models of which few are busy at a time, more models
+// than places, loads from the store slower than a request's target and loads
+// from an engine's own disk within it.
+//
+// # Usage
+//
+//	world := plan.New(engine)
+//	world.Update(upstream, now)
+//	world.Arrived("muse-01", "", 1, now)
+//	for _, move := range world.Decide(now) {
+//	    // send move.Order to move.Upstream, then
+//	    world.Sent(move, now)
+//	    world.Answered(move, site.OrderAccepted, now)
+//	}
+package plan
+
+import (
+	"sort"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/site"
+)
+
+const (
+	// memoryOf is the time over which a model's demand is remembered.
+	memoryOf = 15 * time.Second
+	// priorArrivals and priorTime give models without any demand a small rate.
+	priorArrivals = 0.5
+	priorTime     = 10 * time.Second
+	// doubtTime is how long an unanswered order may still be carried out
+	// before it is asked about again.
+	doubtTime = 700 * time.Millisecond
+	// settleTime is added to a load's expected time before it counts as lost.
+	settleTime = 6 * time.Second
+	// adapterTime is the usual time of an adapter's load.
+	adapterTime = 25 * time.Millisecond
+	// storeWindow is the time over which loads from the store are counted.
+	storeWindow = 5500 * time.Millisecond
+	// failureRest is how long an engine that refused an order gets no other.
+	failureRest = 500 * time.Millisecond
+)
+
+// use is how much a model is asked for.
+type use struct {
+	count   float64
+	at      time.Time
+	last    time.Time
+	waiting int
+	running int
+}
+
+// decayed returns the remembered arrivals at the time.
+func (u *use) decayed(now time.Time) float64 {
+	if u.at.IsZero() {
+		return 0
+	}
+	left := 1 - now.Sub(u.at).Seconds()/memoryOf.Seconds()
+	// A linear approach to exponential decay is enough for ranking.
+	if left <= 0 {
+		return u.count * 0.05
+	}
+	return u.count * left
+}
+
+// rate returns the expected arrivals a second.
+func (u *use) rate(now time.Time) float64 {
+	return (u.decayed(now) + priorArrivals) / (memoryOf/2 + priorTime).Seconds()
+}
+
+// pending is an order that is being carried out or may be.
+type pending struct {
+	order  site.Order
+	sent   time.Time
+	ready  time.Time
+	asked  time.Time
+	doubt  bool
+	stored bool
+}
+
+// engine is one model engine.
+type engine struct {
+	site.Upstream
+	pending *pending
+	// ready has when adapters that were just ordered can be used.
+	ready   map[string]time.Time
+	used    map[string]time.Time
+	loaded  map[cardamom.ModelID]time.Time
+	rest    time.Time
+	unsure  bool
+	changed uint64
+}
+
+// World is the engines of one service and the demand for their models.
+type World struct {
+	spec    *site.Engine
+	engines map[cardamom.UpstreamID]*engine
+	uses    map[cardamom.ModelID]*use
+	wants   map[want]time.Time
+	loads   []time.Time
+	atOnce  float64
+	since   time.Time
+	changes uint64
+}
+
+// want is a model or adapter that requests wait for.
+type want struct {
+	model   cardamom.ModelID
+	adapter string
+}
+
+// firstAtOnce is how many loads from the store run beside each other until
+// their times show what the store can do.
+const firstAtOnce = 3
+
+// New returns a world without engines. Loads from the store that others may
+// have started are counted for a window from now on unless fresh.
+func New(spec *site.Engine, fresh bool, now time.Time) *World {
+	w := &World{
+		spec: spec, engines: make(map[cardamom.UpstreamID]*engine), uses: make(map[cardamom.ModelID]*use),
+		wants: make(map[want]time.Time), atOnce: firstAtOnce,
+	}
+	if !fresh {
+		w.since = now.Add(storeWindow)
+	}
+	return w
+}
+
+// SetSpec replaces the service's description.
+func (w *World) SetSpec(spec *site.Engine) { w.spec = spec }
+
+// Update takes what an engine says of itself. Words older than the orders it
+// is known to have accepted are dropped.
+func (w *World) Update(upstream *site.Upstream, now time.Time) {
+	known, ok := w.engines[upstream.ID]
+	if !ok || known.Born != upstream.Born && upstream.Born > known.Born {
+		fresh := &engine{
+			Upstream: *upstream, ready: make(map[string]time.Time), used: make(map[string]time.Time),
+			loaded: make(map[cardamom.ModelID]time.Time),
+		}
+		w.engines[upstream.ID] = fresh
+		w.touch(fresh)
+		return
+	}
+	if upstream.Born < known.Born {
+		return
+	}
+	if known.State == cardamom.Leaving && upstream.State == cardamom.Live {
+		// An older word; a run that leaves does not come back.
+		return
+	}
+	if known.State != upstream.State || known.Address != upstream.Address {
+		known.State, known.Address, known.Remaining = upstream.State, upstream.Address, upstream.Remaining
+		w.touch(known)
+	}
+	if upstream.Orders < known.Orders {
+		return
+	}
+	w.hold(known, upstream.Orders, upstream.Held, upstream.InMemory, upstream.OnDisk, now)
+}
+
+// Report takes an engine's answer about its state.
+func (w *World) Report(id cardamom.UpstreamID, report site.Report, now time.Time) {
+	e, ok := w.engines[id]
+	if !ok || report.Orders < e.Orders {
+		return
+	}
+	held := make(map[cardamom.ModelID][]string, len(report.Held))
+	for model, adapters := range report.Held {
+		held[model] = append(append([]string(nil), adapters...), report.Coming[model]...)
+	}
+	e.unsure = false
+	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
+	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > settleTime {
+		e.pending = nil
+	}
+}
+
+// hold sets what an engine has, and ends the order that this fulfils.
+func (w *World) hold(e *engine, orders int64, held map[cardamom.ModelID][]string, inMemory, onDisk map[cardamom.ModelID]bool, now time.Time) {
+	if !sameHeld(e.Held, held) {
+		w.touch(e)
+	}
+	for model := range held {
+		if _, ok := e.Held[model]; !ok {
+			e.loaded[model] = now
+		}
+	}
+	accepted := orders > e.Orders
+	e.Orders, e.Held = orders, held
+	if len(inMemory)+len(onDisk) > 0 {
+		e.InMemory, e.OnDisk = inMemory, onDisk
+	}
+	p := e.pending
+	if p == nil {
+		return
+	}
+	if accepted && p.doubt {
+		// The engine's count moved on, so the order was carried out or never can be.
+		p.doubt = false
+		p.ready = now.Add(w.loadTime(e, p.order.Model))
+	}
+	_, has := held[p.order.Model]
+	if !p.doubt && orders > p.order.Expect && has == (p.order.Kind == site.Load) {
+		if p.stored {
+			w.learn(p, now)
+		}
+		e.pending = nil
+		w.touch(e)
+	}
+}
+
+// learn adapts how many loads run beside each other to the time one took.
+func (w *World) learn(p *pending, now time.Time) {
+	model, ok := w.spec.Models[p.order.Model]
+	if !ok || model.FromStore == 0 {
+		return
+	}
+	switch took := now.Sub(p.sent).Seconds() / model.FromStore.Seconds(); {
+	case took > 1.35:
+		w.atOnce = max(w.atOnce-1, 1)
+	case took < 1.15:
+		w.atOnce = min(w.atOnce+0.5, 8)
+	}
+}
+
+// Gone takes that an engine is no longer listed.
+func (w *World) Gone(id cardamom.UpstreamID) {
+	if _, ok := w.engines[id]; ok {
+		delete(w.engines, id)
+		w.changes++
+	}
+}
+
+// Arrived counts requests for a model.
+func (w *World) Arrived(model cardamom.ModelID, count int, now time.Time) {
+	u := w.use(model)
+	u.count = u.decayed(now) + float64(count)
+	u.at, u.last = now, now
+}
+
+// Used takes that an adapter was asked for, so that it is not dropped next.
+func (w *World) Used(id cardamom.UpstreamID, model cardamom.ModelID, adapter string, now time.Time) {
+	if e, ok := w.engines[id]; ok {
+		e.used[string(model)+"/"+adapter] = now
+	}
+}
+
+// Running sets how many requests of a model are waiting and in progress.
+func (w *World) Running(model cardamom.ModelID, waiting, running int) {
+	u := w.use(model)
+	u.waiting, u.running = waiting, running
+}
+
+// Want takes that requests wait for a model or adapter until the time.
+func (w *World) Want(model cardamom.ModelID, adapter string, until time.Time) {
+	key := want{model, adapter}
+	if until.After(w.wants[key]) {
+		w.wants[key] = until
+	}
+}
+
+func (w *World) use(model cardamom.ModelID) *use {
+	u, ok := w.uses[model]
+	if !ok {
+		u = &use{}
+		w.uses[model] = u
+	}
+	return u
+}
+
+func (w *World) touch(e *engine) {
+	w.changes++
+	e.changed = w.changes
+}
+
+// Changes returns a number that grows with each change of what engines hold.
+func (w *World) Changes() uint64 { return w.changes }
+
+// Changed returns the engines that changed after the number, as requests may
+// use them: a model that is about to be dropped is left out.
+func (w *World) Changed(after uint64) []*site.Upstream {
+	var list []*site.Upstream
+	for _, e := range w.sorted() {
+		if e.changed > after {
+			list = append(list, e.usable())
+		}
+	}
+	return list
+}
+
+// IDs returns the names of all engines.
+func (w *World) IDs() []cardamom.UpstreamID {
+	ids := make([]cardamom.UpstreamID, 0, len(w.engines))
+	for id := range w.engines {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// usable returns the engine without what its pending order takes away.
+func (e *engine) usable() *site.Upstream {
+	view := e.Upstream
+	if p := e.pending; p != nil && p.order.Kind == site.Unload {
+		view.Held = make(map[cardamom.ModelID][]string, len(e.Held))
+		for model, adapters := range e.Held {
+			if model != p.order.Model {
+				view.Held[model] = adapters
+			}
+		}
+	}
+	return &view
+}
+
+// Ready returns the engines that can run requests for the model and adapter.
+func (w *World) Ready(model cardamom.ModelID, adapter string, now time.Time) []*site.Upstream {
+	var list []*site.Upstream
+	for _, e := range w.sorted() {
+		view := e.usable()
+		if view.State == cardamom.Live && view.Holds(model, adapter) && !now.Before(e.ready[string(model)+"/"+adapter]) {
+			list = append(list, view)
+		}
+	}
+	return list
+}
+
+func (w *World) sorted() []*engine {
+	list := make([]*engine, 0, len(w.engines))
+	for _, e := range w.engines {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// sameHeld tells whether two accounts of what an engine holds agree.
+func sameHeld(a, b map[cardamom.ModelID][]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for model, adapters := range a {
+		others, ok := b[model]
+		if !ok || len(others) != len(adapters) {
+			return false
+		}
+		set := make(map[string]bool, len(adapters))
+		for _, name := range adapters {
+			set[name] = true
+		}
+		for _, name := range others {
+			if !set[name] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Known returns the models that were asked for at some time.
+func (w *World) Known() []cardamom.ModelID {
+	list := make([]cardamom.ModelID, 0, len(w.uses))
+	for model := range w.uses {
+		list = append(list, model)
+	}
+	return list
+}
+
+// Waits takes that at least so many requests wait for a model.
+func (w *World) Waits(model cardamom.ModelID, waiting int) {
+	u := w.use(model)
+	u.waiting = max(u.waiting, waiting)
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,212 @@
+// Package site describes a deployment as the instances know it: the published
+// catalog of routes, services and models, and the listed upstreams.
+//
+// # Usage
+//
+//	catalog := site.NewCatalog(7, routes, services, limits)
+//	route, ok := catalog.Match("news.example", "/digest/2024")
+//	service, ok := catalog.Service(route.Pick(hash))
+//
+// All values are immutable once built and may be shared between goroutines.
+package site
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+// Kind tells how often a request of a route may run.
+type Kind uint8
+
+// The kinds of a route.
+const (
+	// Idempotent requests may run any number of times.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests run at most once for each caller's attempt.
+	NonIdempotent
+	// Streaming responses are series of events; they run at most once unless
+	// the route is resumable.
+	Streaming
+)
+
+// Share is one service of a route with its part of the requests.
+type Share struct {
+	Service cardamom.ServiceID
+	Weight  int
+}
+
+// Route maps requests of a host below a path prefix to services.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Kind      Kind
+	Shares    []Share
+	Timeout   time.Duration
+	Target    time.Duration
+	Gap       time.Duration
+	Priority  int
+	Attempts  int
+	Resumable bool
+}
+
+// Repeatable tells whether a request that may have run may be sent again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Pick returns the service for a request with the hash, by the shares' weights.
+func (r *Route) Pick(hash uint64) cardamom.ServiceID {
+	total := 0
+	for _, share := range r.Shares {
+		total += max(share.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Shares) == 0 {
+			return ""
+		}
+		return r.Shares[0].Service
+	}
+	point := int(hash % uint64(total))
+	for _, share := range r.Shares {
+		point -= max(share.Weight, 0)
+		if point < 0 {
+			return share.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Model is a checkpoint that engines of a service can load.
+type Model struct {
+	Name       cardamom.ModelID
+	SizeMB     float64
+	AdapterMB  float64
+	Adapters   int
+	FromStore  time.Duration
+	FromDisk   time.Duration
+	FromMemory time.Duration
+}
+
+// Engine is what the model engines of a service have in common.
+type Engine struct {
+	Slots        int
+	TokenRoom    int
+	MemoryMB     float64
+	HostMB       float64
+	DiskMB       float64
+	AdapterSlots int
+	StoreLoads   float64
+	Models       map[cardamom.ModelID]Model
+}
+
+// Service is a group of upstreams that run the same program. Engine is nil for
+// plain services.
+type Service struct {
+	Name        cardamom.ServiceID
+	HealthPath  string
+	Connections int
+	Engine      *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one published version of routes and services.
+type Catalog struct {
+	version  uint64
+	hosts    map[string][]*Route
+	services map[cardamom.ServiceID]*Service
+	limits   Limits
+}
+
+// NewCatalog returns the catalog of a version.
+func NewCatalog(version uint64, routes []Route, services []Service, limits Limits) *Catalog {
+	c := &Catalog{version: version, hosts: make(map[string][]*Route), services: make(map[cardamom.ServiceID]*Service), limits: limits}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		c.hosts[host] = append(c.hosts[host], &routes[i])
+	}
+	for _, list := range c.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for i := range services {
+		c.services[services[i].Name] = &services[i]
+	}
+	return c
+}
+
+// Version returns the number of the catalog; it only grows.
+func (c *Catalog) Version() uint64 { return c.version }
+
+// Limits returns the bounds on requests.
+func (c *Catalog) Limits() Limits { return c.limits }
+
+// Match returns the route with the longest prefix of the path.
+func (c *Catalog) Match(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	list, ok := c.hosts[host]
+	if !ok {
+		if colon := strings.LastIndexByte(host, ':'); colon > 0 {
+			list = c.hosts[host[:colon]]
+		}
+	}
+	for _, route := range list {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by name.
+func (c *Catalog) Service(name cardamom.ServiceID) (*Service, bool) {
+	service, ok := c.services[name]
+	return service, ok
+}
+
+// Services returns all services in order of name.
+func (c *Catalog) Services() []*Service {
+	list := make([]*Service, 0, len(c.services))
+	for _, service := range c.services {
+		list = append(list, service)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// String returns the kind's name in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non_idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "unknown"
+	}
+}
+
+const (
+	// leastPatience, targetPatience and gapPatience bound how long callers
+	// wait for an event of a stream: the longest of the first, so many targets
+	// and so many gaps. They are the users' callers' habit.
+	leastPatience  = 2 * time.Second
+	targetPatience = 4
+	gapPatience    = 8
+)
+
+// Patience returns how long callers wait for the first event of a stream.
+func (r *Route) Patience() time.Duration {
+	return max(leastPatience, targetPatience*r.Target, gapPatience*r.Gap)
+}
