--- a/coord/loop.go
+++ b/coord/loop.go
@@ -203,7 +203,7 @@
 	}
 	if !ok || known.State != upstream.State {
 		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
-			"leaving", upstream.State == cardamom.Leaving, "orders", upstream.Orders, "origin", origin)
+			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.Beat, "origin", origin)
 	}
 	l.picture.upstreams[upstream.ID] = upstream
 	l.changed = true
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -234,9 +234,9 @@
 	if best == nil {
 		return Move{}, false
 	}
-	order := site.Order{Kind: site.Load, Model: model, Expect: best.Orders}
+	order := site.Order{Kind: site.Load, Model: model, Expect: best.orders}
 	if drop != "" {
-		order = site.Order{Kind: site.Unload, Model: drop, Expect: best.Orders}
+		order = site.Order{Kind: site.Unload, Model: drop, Expect: best.orders}
 	}
 	return Move{Upstream: best.Upstream.Upstream, Order: order, Reason: reason}, true
 }
@@ -348,7 +348,7 @@
 				count++
 				at := e.used[string(model)+"/"+name]
 				if at.Before(oldestAt) || oldest.Adapter == "" {
-					oldest, oldestAt = site.Order{Kind: site.Unload, Model: model, Adapter: name, Expect: e.Orders}, at
+					oldest, oldestAt = site.Order{Kind: site.Unload, Model: model, Adapter: name, Expect: e.orders}, at
 				}
 			}
 		}
@@ -371,7 +371,7 @@
 	if best == nil {
 		return Move{}, false
 	}
-	order := site.Order{Kind: site.Load, Model: key.model, Adapter: key.adapter, Expect: best.Orders}
+	order := site.Order{Kind: site.Load, Model: key.model, Adapter: key.adapter, Expect: best.orders}
 	if drop.Adapter != "" {
 		order = drop
 	}
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -37,7 +37,7 @@
 			w.loads = append(w.loads, now)
 		}
 	}
-	e.pending = p
+	e.pending, e.ordered = p, now
 	w.touch(e)
 }
 
@@ -48,11 +48,12 @@
 		return
 	}
 	p := e.pending
+	e.ordered = now
 	switch result {
 	case site.OrderAccepted, site.OrderHolds:
 		p.doubt = false
 		if result == site.OrderAccepted || m.Order.Adapter != "" {
-			e.Orders = max(e.Orders, m.Order.Expect+1)
+			e.orders = max(e.orders, m.Order.Expect+1)
 		}
 		if m.Order.Adapter != "" {
 			w.setAdapter(e, m.Order, now)
--- a/plan/world.go
+++ b/plan/world.go
@@ -41,6 +41,9 @@
 	adapterTime = 25 * time.Millisecond
 	// storeWindow is the time over which loads from the store are counted.
 	storeWindow = 5500 * time.Millisecond
+	// registrationLag is how much older than an order a registration may be
+	// that arrives after it: a heartbeat and the list's lag.
+	registrationLag = 3 * time.Second
 	// failureRest is how long an engine that refused an order gets no other.
 	failureRest = 500 * time.Millisecond
 )
@@ -85,6 +88,9 @@
 // engine is one model engine.
 type engine struct {
 	site.Upstream
+	// orders is how many orders the engine has accepted, by its reports.
+	orders  int64
+	ordered time.Time
 	pending *pending
 	// ready has when adapters that were just ordered can be used.
 	ready   map[string]time.Time
@@ -140,7 +146,7 @@
 	if !ok || known.Born != upstream.Born && upstream.Born > known.Born {
 		fresh := &engine{
 			Upstream: *upstream, ready: make(map[string]time.Time), used: make(map[string]time.Time),
-			loaded: make(map[cardamom.ModelID]time.Time),
+			loaded: make(map[cardamom.ModelID]time.Time), unsure: true,
 		}
 		w.engines[upstream.ID] = fresh
 		w.touch(fresh)
@@ -157,16 +163,21 @@
 		known.State, known.Address, known.Remaining = upstream.State, upstream.Address, upstream.Remaining
 		w.touch(known)
 	}
-	if upstream.Orders < known.Orders {
+	if upstream.Beat <= known.Beat {
 		return
 	}
-	w.hold(known, upstream.Orders, upstream.Held, upstream.InMemory, upstream.OnDisk, now)
+	known.Beat = upstream.Beat
+	if known.pending != nil || now.Sub(known.ordered) < registrationLag {
+		// The registration may be older than the order.
+		return
+	}
+	w.hold(known, known.orders, upstream.Held, upstream.InMemory, upstream.OnDisk, now)
 }
 
 // Report takes an engine's answer about its state.
 func (w *World) Report(id cardamom.UpstreamID, report site.Report, now time.Time) {
 	e, ok := w.engines[id]
-	if !ok || report.Orders < e.Orders {
+	if !ok || report.Orders < e.orders {
 		return
 	}
 	held := make(map[cardamom.ModelID][]string, len(report.Held))
@@ -190,8 +201,8 @@
 			e.loaded[model] = now
 		}
 	}
-	accepted := orders > e.Orders
-	e.Orders, e.Held = orders, held
+	accepted := orders > e.orders
+	e.orders, e.Held = orders, held
 	if len(inMemory)+len(onDisk) > 0 {
 		e.InMemory, e.OnDisk = inMemory, onDisk
 	}
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -11,8 +11,8 @@
 	cardamom.Upstream
 	// Born is when this run of the upstream started, in Unix milliseconds.
 	Born int64
-	// Orders is how many orders this run has accepted.
-	Orders int64
+	// Beat grows with each word of this run about itself.
+	Beat int64
 	// Slots is how many requests it processes at once.
 	Slots int
 	// Remaining is the time until it is taken away; 0 if it is not told.
