--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -56,10 +56,14 @@
 	}
 	switch l.lease.Next(now) {
 	case lease.Take:
-		if l.heard(now) {
-			return
+		switch {
+		case l.heard(now):
+		case now.Sub(l.leaseSeen) < 2*leaseRead:
+			l.writeLease(now)
+		case now.Sub(l.leaseAt) >= leaseRead:
+			// The row may have been renewed since it was read.
+			l.readLease(now)
 		}
-		l.writeLease(now)
 	case lease.Renew:
 		if now.Sub(l.leaseAt) >= leaseRead {
 			l.writeLease(now)
@@ -84,6 +88,7 @@
 		l.post(func(now time.Time) {
 			l.leasing = false
 			if err == nil {
+				l.leaseSeen = now
 				l.lease.Observe(decodeLease(row), now)
 			}
 		})
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -62,24 +62,26 @@
 
 // Loop is the control side of one instance.
 type Loop struct {
-	options  Options
-	logger   hclog.Logger
-	events   chan func(now time.Time)
-	board    *board
-	picture  *picture
-	lease    *lease.State
-	leasing  bool
-	leaseAt  time.Time
-	tenure   *tenure
-	peers    *peers
-	telling  bool
-	tellAt   time.Time
-	answered time.Time
-	position position
-	leaving  bool
-	changed  bool
-	wake     map[chan struct{}]bool
-	ctx      context.Context
+	options Options
+	logger  hclog.Logger
+	events  chan func(now time.Time)
+	board   *board
+	picture *picture
+	lease   *lease.State
+	leasing bool
+	leaseAt time.Time
+	// leaseSeen is when the row was last read.
+	leaseSeen time.Time
+	tenure    *tenure
+	peers     *peers
+	telling   bool
+	tellAt    time.Time
+	answered  time.Time
+	position  position
+	leaving   bool
+	changed   bool
+	wake      map[chan struct{}]bool
+	ctx       context.Context
 }
 
 // position is how far an instance has followed a coordinator.
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -299,4 +299,3 @@
 	case <-ctx.Done():
 	}
 }
-
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -127,7 +127,7 @@
 		if p != nil {
 			p.asked = now
 		} else {
-			e.rest = now.Add(askEvery)
+			e.rest = now.Add(foreignAsk)
 		}
 		list = append(list, e.Upstream.Upstream)
 	}
--- a/plan/world.go
+++ b/plan/world.go
@@ -44,6 +44,9 @@
 	// registrationLag is how much older than an order a registration may be
 	// that arrives after it: a heartbeat and the list's lag.
 	registrationLag = 3 * time.Second
+	// foreignAsk is the time between two reports of an engine that carries out
+	// another holder's order.
+	foreignAsk = 300 * time.Millisecond
 	// failureRest is how long an engine that refused an order gets no other.
 	failureRest = 500 * time.Millisecond
 )
@@ -184,7 +187,11 @@
 	for model, adapters := range report.Held {
 		held[model] = append(append([]string(nil), adapters...), report.Coming[model]...)
 	}
-	e.unsure = false
+	// An order that is not known here, of an earlier holder, is being carried out.
+	e.unsure = report.Busy && e.pending == nil
+	if e.unsure {
+		e.rest = now.Add(foreignAsk)
+	}
 	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
 	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > settleTime {
 		e.pending = nil
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -55,6 +55,8 @@
 	tried    map[cardamom.UpstreamID]bool
 	last     cardamom.UpstreamID
 	waited   time.Duration
+	// first is the time from the arrival to the first event passed on.
+	first time.Duration
 	// started means that the response's header has gone to the caller.
 	started bool
 	// event is the last event of a stream that was passed on whole.
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -141,7 +141,8 @@
 	if !x.started {
 		x.head(response)
 		x.w.WriteHeader(response.Status())
-		x.server.Counts.Took("first_event", time.Since(x.arrived))
+		x.first = time.Since(x.arrived)
+		x.server.Counts.Took("first_event", x.first)
 	}
 	if id := lastID(events); id != "" {
 		x.event = id
@@ -220,14 +221,26 @@
 	took := time.Since(x.arrived)
 	x.server.Counts.Ended(kind, outcome, reason)
 	x.server.Counts.Took("whole", took)
-	if outcome == "served" && xxhash.Sum64String(x.ask.ID)%logShare != 0 {
+	late := x.late(took)
+	if outcome == "served" && !late && xxhash.Sum64String(x.ask.ID)%logShare != 0 {
 		return
 	}
 	x.log.Info("request_ended", "request", x.ask.ID, "outcome", outcome, "reason", reason, "status", status, "route", name,
-		"model", x.ask.Model, "adapter", x.ask.Adapter, "upstream", x.last, "waited_ms", x.waited.Milliseconds(), "took_ms", took.Milliseconds(),
+		"model", x.ask.Model, "adapter", x.ask.Adapter, "upstream", x.last, "waited_ms", x.waited.Milliseconds(), "first_ms", x.first.Milliseconds(), "took_ms", took.Milliseconds(), "late", late,
 		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
 
+// late tells whether a response came after its route's target.
+func (x *exchange) late(took time.Duration) bool {
+	if x.route == nil || x.route.Target == 0 {
+		return false
+	}
+	if x.route.Kind == site.Streaming {
+		return x.first > x.route.Target
+	}
+	return took > x.route.Target
+}
+
 func outcomeOf(status int) string {
 	if status < http.StatusBadRequest {
 		return "served"
