--- a/coord/serve.go
+++ b/coord/serve.go
@@ -115,7 +115,7 @@
 		key := modelKey{cardamom.ServiceID(d.GetService()), cardamom.ModelID(d.GetModel())}
 		m.models[key] = count{int(d.GetWaiting()), int(d.GetRunning())}
 		if w, ok := t.worlds[key.service]; ok && d.GetArrivals() > 0 {
-			w.Arrived(key.model, int(d.GetArrivals()), now)
+			w.Arrived(key.model, int(d.GetArrivals()), int(d.GetTokens()), now)
 		}
 	}
 	for _, load := range request.GetLoads() {
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -110,7 +110,7 @@
 	}
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
-			Service: string(key.Service), Model: string(key.Model), Arrivals: int32(m.Arrivals), Waiting: int32(m.Waiting), Running: int32(m.Running),
+			Service: string(key.Service), Model: string(key.Model), Arrivals: int32(m.Arrivals), Waiting: int32(m.Waiting), Running: int32(m.Running), Tokens: int64(m.Tokens),
 		})
 	}
 	for id, u := range report.Upstreams {
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	counter := demand.New()
-//	counter.Arrived(service, model)
+//	counter.Arrived(key, 1460)
 //	counter.Begin(upstream, service, model, "letters")
 //	counter.End(upstream, service, model)
 //	report := counter.Take()
@@ -25,8 +25,10 @@
 // Model is what was seen of one model.
 type Model struct {
 	Arrivals int
-	Waiting  int
-	Running  int
+	// Tokens is the prompts' size.
+	Tokens  int
+	Waiting int
+	Running int
 }
 
 // Upstream is what was seen of one upstream.
@@ -73,11 +75,13 @@
 	return u
 }
 
-// Arrived counts a request for a model.
-func (c *Counter) Arrived(key Key) {
+// Arrived counts a request for a model with a prompt of so many tokens.
+func (c *Counter) Arrived(key Key, tokens int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.model(key).Arrivals++
+	m := c.model(key)
+	m.Arrivals++
+	m.Tokens += tokens
 }
 
 // Waiting changes the number of requests that wait for a model.
@@ -143,7 +147,7 @@
 			delete(c.models, key)
 			continue
 		}
-		m.Arrivals = 0
+		m.Arrivals, m.Tokens = 0, 0
 	}
 	for id, u := range c.upstreams {
 		report.Upstreams[id] = *u
@@ -162,7 +166,9 @@
 	defer c.mu.Unlock()
 	for key, m := range report.Models {
 		if m.Arrivals > 0 {
-			c.model(key).Arrivals += m.Arrivals
+			back := c.model(key)
+			back.Arrivals += m.Arrivals
+			back.Tokens += m.Tokens
 		}
 	}
 }
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -14,6 +14,14 @@
 	// before another is wanted; an engine batches several times as many, but
 	// prompts of others delay first events.
 	perCopy = 14
+	// perCopyTokens is how many prompt tokens a second one copy reads before
+	// another is wanted: about half of what an engine reads when it does
+	// nothing else and keeps no shared parts.
+	perCopyTokens = 24000
+	// firstLook is how long demand is watched before copies are judged by it,
+	// firstCopies how many a model keeps until then.
+	firstLook   = 2 * time.Second
+	firstCopies = 3
 	// busyRate is the arrivals a second from which a model has a second copy
 	// against the loss of an engine.
 	busyRate = 1.5
@@ -22,6 +30,9 @@
 	youngTime = 1200 * time.Millisecond
 	// ceilingShare is the part of the store's rate that is used, in percent.
 	ceilingShare = 90
+	// roomTime is how long an engine keeps the purpose for which it drops a
+	// model: the drop waits for the model's requests.
+	roomTime = 8 * time.Second
 	// maxWantedCopies bounds the copies of a model.
 	maxWantedCopies = 6
 )
@@ -63,7 +74,7 @@
 func (w *World) storeLoads() int {
 	count := 0
 	for _, e := range w.engines {
-		if e.pending != nil && e.pending.stored {
+		if e.pending != nil && e.pending.stored || e.purpose != "" && w.source(e, e.purpose) == fromStore {
 			count++
 		}
 	}
@@ -72,7 +83,12 @@
 
 // mayStore tells whether another load from the store fits its rate.
 func (w *World) mayStore(now time.Time) bool {
-	if now.Before(w.since) || w.storeLoads() >= int(w.atOnce) {
+	return w.storeLoads() < int(w.atOnce) && w.withinRate(now)
+}
+
+// withinRate tells whether a load from the store may begin now.
+func (w *World) withinRate(now time.Time) bool {
+	if now.Before(w.since) {
 		return false
 	}
 	recent := w.loads[:0]
@@ -86,11 +102,11 @@
 	return float64(len(recent)) < max(allowed, 1)
 }
 
-// copies counts the engines that hold a model or are loading it.
+// copies counts the engines that hold a model, load it or make room for it.
 func (w *World) copies(model cardamom.ModelID) int {
 	count := 0
 	for _, e := range w.engines {
-		if e.State == cardamom.Live && e.willHold(model) {
+		if e.State == cardamom.Live && (e.willHold(model) || e.purpose == model) {
 			count++
 		}
 	}
@@ -106,16 +122,24 @@
 	return ok
 }
 
-// wanted returns how many copies of a model its demand justifies.
+// wanted returns how many copies of a model its demand justifies. Before any
+// demand is seen, copies that are there are the best word on what is busy.
 func (w *World) wanted(model cardamom.ModelID, now time.Time) int {
+	seen := w.seen(now).Seconds()
+	if seen < firstLook.Seconds() {
+		return min(max(w.copies(model), 1), firstCopies)
+	}
 	u, ok := w.uses[model]
 	if !ok {
 		return 1
 	}
+	// What is remembered approaches the rate times the memory.
+	span := memoryOf.Seconds() * (1 - math.Exp(-seen/memoryOf.Seconds()))
 	count := 1
-	if u.decayed(now)/(memoryOf.Seconds()/2) >= busyRate {
+	if u.decayed(now)/span >= busyRate {
 		count = 2
 	}
+	count = max(count, int(math.Ceil(u.tokens*u.left(now)/span/perCopyTokens)))
 	count = max(count, int(math.Ceil(float64(u.running+u.waiting)/perCopy)))
 	return min(count, maxWantedCopies)
 }
@@ -130,6 +154,9 @@
 			moves = append(moves, m)
 		}
 	}
+	for _, e := range w.sorted() {
+		give(w.followUp(e, now))
+	}
 	for _, key := range w.dueWants(now) {
 		if key.adapter != "" {
 			give(w.adapterMove(key, now))
@@ -151,6 +178,38 @@
 	return moves
 }
 
+// followUp returns the load for which room was made on an engine.
+func (w *World) followUp(e *engine, now time.Time) (Move, bool) {
+	if e.purpose == "" {
+		return Move{}, false
+	}
+	spec, ok := w.spec.Models[e.purpose]
+	if !ok || e.State != cardamom.Live || now.After(e.within) || e.willHold(e.purpose) {
+		e.purpose = ""
+		return Move{}, false
+	}
+	if !e.free(now) || (w.source(e, e.purpose) == fromStore && !w.withinRate(now)) {
+		return Move{}, false
+	}
+	victim, _, fits := w.room(e, spec, "wanted", now)
+	if !fits {
+		e.purpose = ""
+		return Move{}, false
+	}
+	return w.step(e, e.purpose, victim, "room", now), true
+}
+
+// step returns the order that comes next to bring a model onto an engine.
+func (w *World) step(e *engine, model, drop cardamom.ModelID, reason string, now time.Time) Move {
+	order := site.Order{Kind: site.Load, Model: model, Expect: e.orders}
+	e.purpose = ""
+	if drop != "" {
+		order = site.Order{Kind: site.Unload, Model: drop, Expect: e.orders}
+		e.purpose, e.within = model, now.Add(roomTime)
+	}
+	return Move{Upstream: e.Upstream.Upstream, Order: order, Reason: reason}
+}
+
 // dueWants returns what requests wait for, the most waited for first, and
 // forgets what nobody waits for any more.
 func (w *World) dueWants(now time.Time) []want {
@@ -217,7 +276,7 @@
 	var drop cardamom.ModelID
 	least := math.Inf(1)
 	for _, e := range w.sorted() {
-		if !e.free(now) || e.willHold(model) {
+		if !e.free(now) || e.purpose != "" || e.willHold(model) {
 			continue
 		}
 		if w.source(e, model) == fromStore && !w.mayStore(now) {
@@ -234,11 +293,7 @@
 	if best == nil {
 		return Move{}, false
 	}
-	order := site.Order{Kind: site.Load, Model: model, Expect: best.orders}
-	if drop != "" {
-		order = site.Order{Kind: site.Unload, Model: drop, Expect: best.orders}
-	}
-	return Move{Upstream: best.Upstream.Upstream, Order: order, Reason: reason}, true
+	return w.step(best, model, drop, reason, now), true
 }
 
 // free tells whether the engine takes an order now.
--- a/plan/world.go
+++ b/plan/world.go
@@ -10,7 +10,7 @@
 //
 //	world := plan.New(engine)
 //	world.Update(upstream, now)
-//	world.Arrived("muse-01", "", 1, now)
+//	world.Arrived("muse-01", 1, 1460, now)
 //	for _, move := range world.Decide(now) {
 //	    // send move.Order to move.Upstream, then
 //	    world.Sent(move, now)
@@ -19,6 +19,7 @@
 package plan
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -28,7 +29,7 @@
 
 const (
 	// memoryOf is the time over which a model's demand is remembered.
-	memoryOf = 15 * time.Second
+	memoryOf = 8 * time.Second
 	// priorArrivals and priorTime give models without any demand a small rate.
 	priorArrivals = 0.5
 	priorTime     = 10 * time.Second
@@ -54,6 +55,7 @@
 // use is how much a model is asked for.
 type use struct {
 	count   float64
+	tokens  float64
 	at      time.Time
 	last    time.Time
 	waiting int
@@ -61,21 +63,16 @@
 }
 
 // decayed returns the remembered arrivals at the time.
-func (u *use) decayed(now time.Time) float64 {
-	if u.at.IsZero() {
-		return 0
-	}
-	left := 1 - now.Sub(u.at).Seconds()/memoryOf.Seconds()
-	// A linear approach to exponential decay is enough for ranking.
-	if left <= 0 {
-		return u.count * 0.05
-	}
-	return u.count * left
+func (u *use) decayed(now time.Time) float64 { return u.count * u.left(now) }
+
+// left returns the part of what is remembered that still counts.
+func (u *use) left(now time.Time) float64 {
+	return math.Exp(-now.Sub(u.at).Seconds() / memoryOf.Seconds())
 }
 
 // rate returns the expected arrivals a second.
 func (u *use) rate(now time.Time) float64 {
-	return (u.decayed(now) + priorArrivals) / (memoryOf/2 + priorTime).Seconds()
+	return (u.decayed(now) + priorArrivals) / (memoryOf + priorTime).Seconds()
 }
 
 // pending is an order that is being carried out or may be.
@@ -95,6 +92,9 @@
 	orders  int64
 	ordered time.Time
 	pending *pending
+	// purpose is the model for which room is being made, until the time.
+	purpose cardamom.ModelID
+	within  time.Time
 	// ready has when adapters that were just ordered can be used.
 	ready   map[string]time.Time
 	used    map[string]time.Time
@@ -113,6 +113,8 @@
 	loads   []time.Time
 	atOnce  float64
 	since   time.Time
+	// began is when the first demand was counted.
+	began   time.Time
 	changes uint64
 }
 
@@ -254,13 +256,26 @@
 	}
 }
 
-// Arrived counts requests for a model.
-func (w *World) Arrived(model cardamom.ModelID, count int, now time.Time) {
+// Arrived counts requests for a model with so many prompt tokens together.
+func (w *World) Arrived(model cardamom.ModelID, count, tokens int, now time.Time) {
+	if w.began.IsZero() {
+		w.began = now
+	}
 	u := w.use(model)
-	u.count = u.decayed(now) + float64(count)
+	left := u.left(now)
+	u.count = u.count*left + float64(count)
+	u.tokens = u.tokens*left + float64(tokens)
 	u.at, u.last = now, now
 }
 
+// seen returns for how long demand has been counted, at most the memory of it.
+func (w *World) seen(now time.Time) time.Duration {
+	if w.began.IsZero() {
+		return 0
+	}
+	return min(now.Sub(w.began), memoryOf)
+}
+
 // Used takes that an adapter was asked for, so that it is not dropped next.
 func (w *World) Used(id cardamom.UpstreamID, model cardamom.ModelID, adapter string, now time.Time) {
 	if e, ok := w.engines[id]; ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -206,7 +206,7 @@
 	s := x.server
 	x.key = demand.Key{Service: x.service, Model: x.ask.Model}
 	if x.ask.Model != "" {
-		s.Demand.Arrived(x.key)
+		s.Demand.Arrived(x.key, x.ask.PromptTokens)
 	}
 	s.Budget.Earn(x.service, x.arrived)
 	x.fingerprint = x.identity()
