--- a/front/front.go
+++ b/front/front.go
@@ -41,8 +41,9 @@
 	// maxAddresses is how many addresses callers are told at most.
 	maxAddresses = 64
 	// acceptShare is the part of the grace time, in percent, in which a leaving
-	// instance still takes connections of callers that know no other yet.
-	acceptShare = 55
+	// instance still takes requests of callers that know no other yet. The rest
+	// is for finishing them.
+	acceptShare = 34
 	// finishMargin is kept of the grace time for the end of the process.
 	finishMargin = 400 * time.Millisecond
 	// leaveTimeout bounds the hand-over of the lease.
@@ -65,9 +66,11 @@
 	entry    *http.Server
 }
 
-// gate tells whether the instance is leaving.
+// gate tells whether the instance is leaving, and whether it takes no further
+// requests.
 type gate struct {
 	leaving atomic.Bool
+	closed  atomic.Bool
 }
 
 func newGate() *gate { return &gate{} }
@@ -228,6 +231,7 @@
 		i.logger.Warn("lease_not_released", "reason", err)
 	}
 	pause.For(context.Background(), i.settings.grace*acceptShare/100-time.Since(began))
+	i.gate.closed.Store(true)
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), i.settings.grace-finishMargin-time.Since(began))
 	defer cancelDrain()
 	if err := i.entry.Shutdown(drainCtx); err != nil {
--- a/front/provide.go
+++ b/front/provide.go
@@ -47,6 +47,6 @@
 func provideRelay(settings *Settings, loop *coord.Loop, desk *await.Desk, pool *conns.Pool, counter *demand.Counter, record *health.Record, budget *retry.Budget, ledger *poison.Ledger, counts *tally.Tally, g *gate, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
 		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Desk: desk, Pool: pool, Demand: counter,
-		Health: record, Budget: budget, Ledger: ledger, Counts: counts, Leaving: g.leaving.Load, Logger: logger.Named("relay"),
+		Health: record, Budget: budget, Ledger: ledger, Counts: counts, Leaving: g.leaving.Load, Closed: g.closed.Load, Logger: logger.Named("relay"),
 	})
 }
--- a/plan/world.go
+++ b/plan/world.go
@@ -172,11 +172,10 @@
 		return
 	}
 	known.Beat = upstream.Beat
-	if known.pending != nil || now.Sub(known.ordered) < registrationLag {
-		// The registration may be older than the order.
-		return
+	if known.pending == nil && now.Sub(known.ordered) >= registrationLag && !sameHeld(known.Held, upstream.Held) {
+		// A registration may be older than an order, so the engine is asked.
+		known.unsure = true
 	}
-	w.hold(known, known.orders, upstream.Held, upstream.InMemory, upstream.OnDisk, now)
 }
 
 // Report takes an engine's answer about its state.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,9 @@
 	longestRequest = 60 * time.Second
 	// defaultBody bounds bodies in bytes before a catalog is known.
 	defaultBody = 4 << 20
+	// leaveWait is when callers return that reached an instance at its end;
+	// they have another at once.
+	leaveWait = 20 * time.Millisecond
 	// soonWait is when callers return that were refused for a passing reason.
 	soonWait = 400 * time.Millisecond
 )
@@ -104,8 +107,11 @@
 	Budget     *retry.Budget
 	Ledger     *poison.Ledger
 	Counts     Counts
-	Leaving    func() bool
-	Logger     hclog.Logger
+	// Leaving tells whether connections are to be closed, Closed whether no
+	// further request is taken.
+	Leaving func() bool
+	Closed  func() bool
+	Logger  hclog.Logger
 }
 
 // Server serves callers. It implements http.Handler.
@@ -125,6 +131,10 @@
 	}
 	x := &exchange{server: s, w: w, r: r, arrived: arrived, ask: s.Dialect.Ask(r.Header)}
 	x.log = s.Logger
+	if s.Closed() {
+		x.refuse("leaving", leaveWait)
+		return
+	}
 	view := s.Views.View()
 	if view.Catalog() == nil {
 		x.refuse("no_catalog", soonWait)
