--- /dev/null
+++ b/fakes/host/store.go
@@ -0,0 +1,242 @@
+// Package host is a stand-in of the users' platform for tests: its metadata
+// store and its upstreams, over loopback, with the faults that they show.
+//
+// # Usage
+//
+//	store := host.NewStore()
+//	defer store.Close()
+//	store.Put("op", "config", document)
+//	engine := host.NewEngine(store, host.EngineSpec{ID: "i-1", Service: "models"})
+//	defer engine.Close()
+package host
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store misbehaves.
+type Fault uint8
+
+// The store's faults.
+const (
+	Sound Fault = iota
+	// Down answers 503.
+	Down
+	// Reset closes each connection without an answer.
+	Reset
+	// LoseReplies carries writes out and closes the connection.
+	LoseReplies
+)
+
+type row struct {
+	Table     string `json:"table"`
+	Part      string `json:"part"`
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Ver       uint64 `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// Store is the platform's metadata store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	server  *httptest.Server
+	rows    map[string]row
+	history []row
+	oldest  uint64
+	version uint64
+	fault   Fault
+	calls   int
+}
+
+// NewStore returns a store that listens on loopback.
+func NewStore() *Store {
+	s := &Store{rows: make(map[string]row)}
+	s.changed = sync.NewCond(&s.mu)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows-get", s.get)
+	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	s.server = httptest.NewServer(s.faulty(mux))
+	return s
+}
+
+// Address returns the store's host:port.
+func (s *Store) Address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// SetFault sets how the store misbehaves from now on.
+func (s *Store) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Calls returns how many calls the store has got.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as the operator or an upstream does.
+func (s *Store) Put(table, key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(table, key, value, false)
+}
+
+// Remove drops a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(table, key, nil, true)
+}
+
+// Row returns a row's value and version, 0 if there is none.
+func (s *Store) Row(table, key string) ([]byte, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.rows[table+"/"+key]
+	return found.Value, found.Ver
+}
+
+// Compact drops the history, so that feeds from before it get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+func (s *Store) write(table, key string, value []byte, gone bool) uint64 {
+	s.version++
+	entry := row{Table: table, Key: key, Value: value, Ver: s.version, Tombstone: gone}
+	if gone {
+		delete(s.rows, table+"/"+key)
+	} else {
+		s.rows[table+"/"+key] = entry
+	}
+	s.history = append(s.history, entry)
+	s.changed.Broadcast()
+	return s.version
+}
+
+// faulty applies the fault in force. A call whose reply is lost is carried out.
+func (s *Store) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		fault := s.fault
+		s.mu.Unlock()
+		switch fault {
+		case Down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Reset:
+			panic(http.ErrAbortHandler)
+		case LoseReplies:
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = 500
+	}
+	var keys []string
+	for name, entry := range s.rows {
+		if entry.Table == query.Get("table") && entry.Key >= query.Get("from") {
+			keys = append(keys, name)
+		}
+	}
+	sort.Strings(keys)
+	found := []row{}
+	for _, name := range keys[:min(limit, len(keys))] {
+		found = append(found, s.rows[name])
+	}
+	answer(w, map[string]any{"rows": found, "truncated": len(keys) > limit, "ver": s.version, "nowMs": time.Now().UnixMilli()})
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	wake := time.AfterFunc(time.Until(deadline), s.changed.Broadcast)
+	defer wake.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		if after < s.oldest {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		found := []row{}
+		for _, entry := range s.history {
+			if entry.Table == query.Get("table") && entry.Ver > after {
+				found = append(found, entry)
+			}
+		}
+		if len(found) > 0 || !time.Now().Before(deadline) {
+			answer(w, map[string]any{"rows": found, "ver": s.version, "nowMs": time.Now().UnixMilli()})
+			return
+		}
+		s.changed.Wait()
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expect []row `json:"expect"`
+		Writes []row `json:"writes"`
+		Remove []row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expected := range body.Expect {
+		if s.rows[expected.Table+"/"+expected.Key].Ver != expected.Ver {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, entry := range body.Writes {
+		s.write(entry.Table, entry.Key, entry.Value, false)
+	}
+	for _, entry := range body.Remove {
+		s.write(entry.Table, entry.Key, nil, true)
+	}
+	answer(w, map[string]any{"ver": s.version, "nowMs": time.Now().UnixMilli()})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
