--- a/coord/follow.go
+++ b/coord/follow.go
@@ -26,19 +26,29 @@
 	// ownPause is the time between two own calls of an instance that does not
 	// coordinate.
 	ownPause = 600 * time.Millisecond
+	// ownPauseEach makes it longer where many instances ask, longestOwnPause
+	// bounds it so that a leaving upstream is still noticed in time.
+	ownPauseEach    = 15 * time.Millisecond
+	longestOwnPause = 1200 * time.Millisecond
 )
 
 // follower tells whether an instance has to ask the platform itself.
 type follower struct {
 	coordinates bool
 	stale       bool
+	// behind tells that the coordinator knows of a newer catalog.
+	behind bool
+	pause  time.Duration
 }
 
 // duty asks the control goroutine whether the platform has to be followed here.
 func (l *Loop) duty(ctx context.Context, age func(now time.Time) time.Duration) follower {
 	answer := make(chan follower, 1)
 	l.post(func(now time.Time) {
-		answer <- follower{coordinates: l.tenure != nil, stale: age(now) >= staleAfter}
+		answer <- follower{
+			coordinates: l.tenure != nil, stale: age(now) >= staleAfter, behind: l.behind,
+			pause: min(max(ownPause, time.Duration(len(l.picture.members))*ownPauseEach), longestOwnPause),
+		}
 	})
 	select {
 	case duty := <-answer:
@@ -54,7 +64,7 @@
 	lost := false
 	for ctx.Err() == nil {
 		duty := l.duty(ctx, func(now time.Time) time.Duration { return now.Sub(l.picture.confirmed) })
-		if !duty.coordinates && !duty.stale {
+		if !duty.coordinates && !duty.stale && !duty.behind {
 			l.options.Catalogs.Reset()
 			pause.For(ctx, standbyPause)
 			continue
@@ -67,10 +77,12 @@
 		document, catalog, err := l.options.Catalogs.Next(ctx, wait)
 		l.noteSource(&lost, "configuration", err)
 		if err != nil {
+			l.post(func(time.Time) { l.needDocument = l.behind })
 			pause.For(ctx, retryPause)
 			continue
 		}
 		l.post(func(time.Time) {
+			l.behind = false
 			if catalog != nil {
 				l.setCatalog(document, catalog, "platform")
 			}
@@ -81,7 +93,7 @@
 			}
 		})
 		if !duty.coordinates {
-			pause.For(ctx, ownPause)
+			pause.For(ctx, duty.pause)
 		}
 	}
 }
@@ -107,7 +119,7 @@
 		if duty.coordinates {
 			pause.For(ctx, upstreamPause)
 		} else {
-			pause.For(ctx, ownPause)
+			pause.For(ctx, duty.pause)
 		}
 	}
 }
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/steady"
@@ -18,8 +20,13 @@
 	// leaseRead is the time between two reads of the lease by an instance that
 	// has no word from a coordinator.
 	leaseRead = 350 * time.Millisecond
-	// silentAfter is the age of the last exchange from which the coordinator
-	// may be lost.
+	// leaseLook is that time for instances that do not stand by.
+	leaseLook = 2 * time.Second
+	// standbys is how many instances stand by at least, standbyShare how many
+	// percent of the others do, since some are reluctant.
+	standbys     = 4
+	standbyShare = 10
+	// silentAfter is that age where there are few instances.
 	silentAfter = 1200 * time.Millisecond
 )
 
@@ -28,6 +35,7 @@
 	Holder   string `json:"holder"`
 	Address  string `json:"address"`
 	Released bool   `json:"released"`
+	Renewed  int64  `json:"renewed_ms"`
 }
 
 func decodeLease(row table.Row) lease.Row {
@@ -35,11 +43,11 @@
 	if row.Version() == 0 || json.Unmarshal(row.Value(), &wire) != nil {
 		return lease.Row{Version: row.Version(), Released: row.Version() != 0}
 	}
-	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released}
+	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed}
 }
 
 func encodeLease(row lease.Row) []byte {
-	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released})
+	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed})
 	if err != nil {
 		return nil
 	}
@@ -57,7 +65,7 @@
 	switch l.lease.Next(now) {
 	case lease.Take:
 		switch {
-		case l.heard(now):
+		case l.heard(now) || now.Sub(l.began) < l.options.Reluctance:
 		case now.Sub(l.leaseSeen) < 2*leaseRead:
 			l.writeLease(now)
 		case now.Sub(l.leaseAt) >= leaseRead:
@@ -69,18 +77,44 @@
 			l.writeLease(now)
 		}
 	case lease.Nothing:
-		if !l.lease.Held() && !l.heard(now) && now.Sub(l.leaseAt) >= leaseRead {
+		if !l.lease.Held() && !l.heard(now) && now.Sub(l.leaseAt) >= l.leasePause() {
 			l.readLease(now)
 		}
 	}
 }
 
+// leasePause returns the time between two reads of the lease. Where there are
+// many instances only some stand by to take it; the others look now and then.
+func (l *Loop) leasePause() time.Duration {
+	members := l.picture.members
+	if len(members) <= standbys || l.options.Reluctance == 0 && l.standby(members) {
+		return leaseRead
+	}
+	return leaseLook
+}
+
+// standby tells whether this instance is one of those that take the lease first.
+func (l *Loop) standby(members []Member) bool {
+	before := 0
+	own := xxhash.Sum64String(string(l.options.ID))
+	for _, m := range members {
+		if xxhash.Sum64String(string(m.ID)) < own {
+			before++
+		}
+	}
+	return before < len(members)*standbyShare/100+standbys
+}
+
 // heard tells whether a coordinator with fresh word from the platform answered
 // lately.
 func (l *Loop) heard(now time.Time) bool {
-	return !l.position.stale && now.Sub(l.answered) < silentAfter
+	return !l.position.stale && now.Sub(l.answered) < l.silence()
 }
 
+// silence returns the age of the last exchange from which the coordinator may
+// be lost.
+func (l *Loop) silence() time.Duration { return max(silentAfter, 2*l.tellPause()+tellTimeout) }
+
 func (l *Loop) readLease(now time.Time) {
 	l.leasing, l.leaseAt = true, now
 	go func() {
@@ -89,17 +123,24 @@
 			l.leasing = false
 			if err == nil {
 				l.leaseSeen = now
-				l.lease.Observe(decodeLease(row), now)
+				l.observe(decodeLease(row), now)
 			}
 		})
 	}()
 }
 
+// observe takes the row as it was read.
+func (l *Loop) observe(row lease.Row, now time.Time) {
+	clock, _ := l.options.Clock(now)
+	l.lease.Observe(row, clock, now)
+}
+
 func (l *Loop) writeLease(now time.Time) {
 	l.leasing, l.leaseAt = true, now
 	expect := l.lease.Version()
-	value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync})
 	began := steady.Now()
+	clock, _ := l.options.Clock(began)
+	value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Renewed: clock})
 	go func() {
 		version, err := l.options.Table.Commit(l.ctx, table.Put(leaseKey, expect, value))
 		l.post(func(now time.Time) { l.leaseWritten(version, err, began, now) })
@@ -146,7 +187,7 @@
 				l.lease.Written(found.Version, l.options.Sync, began)
 				return
 			}
-			l.lease.Observe(found, now)
+			l.observe(found, now)
 		})
 	}()
 }
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -44,11 +44,16 @@
 
 // Options are what a loop needs.
 type Options struct {
-	ID        cardamom.InstanceID
-	Entry     string
-	Sync      string
-	Seeds     []string
-	Term      time.Duration
+	ID    cardamom.InstanceID
+	Entry string
+	Sync  string
+	Seeds []string
+	Term  time.Duration
+	// Reluctance is how long after its start, and after others, a weak instance
+	// takes the lease.
+	Reluctance time.Duration
+	// Clock returns the store's steady clock in milliseconds.
+	Clock     func(now time.Time) (int64, bool)
 	Fenced    bool
 	Table     table.Store
 	Catalogs  CatalogSource
@@ -72,16 +77,22 @@
 	leaseAt time.Time
 	// leaseSeen is when the row was last read.
 	leaseSeen time.Time
-	tenure    *tenure
-	peers     *peers
-	telling   bool
-	tellAt    time.Time
-	answered  time.Time
-	position  position
-	leaving   bool
-	changed   bool
-	wake      map[chan struct{}]bool
-	ctx       context.Context
+	// began is when the instance started or last lost its coordinator.
+	began    time.Time
+	tenure   *tenure
+	peers    *peers
+	telling  bool
+	tellAt   time.Time
+	answered time.Time
+	position position
+	leaving  bool
+	// behind tells that the coordinator has a newer catalog, needDocument that
+	// it could not be read from the platform.
+	behind       bool
+	needDocument bool
+	changed      bool
+	wake         map[chan struct{}]bool
+	ctx          context.Context
 }
 
 // position is how far an instance has followed a coordinator.
@@ -109,6 +120,7 @@
 // Run owns the control state until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
 	l.ctx = ctx
+	l.began = steady.Now()
 	go l.followCatalog(ctx)
 	go l.followUpstreams(ctx)
 	timer := time.NewTimer(0)
@@ -188,7 +200,7 @@
 	if known != nil && catalog.Version() <= known.Version() {
 		return
 	}
-	l.picture.catalog, l.picture.document = catalog, document
+	l.picture.catalog, l.picture.document, l.picture.packed = catalog, document, nil
 	l.changed = true
 	l.logger.Info("catalog_changed", "version", catalog.Version(), "origin", origin)
 	if l.tenure != nil {
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -63,8 +63,11 @@
 	}
 	if l.picture.catalog != nil {
 		reply.Catalog = l.picture.catalog.Version()
-		if request.GetCatalog() < reply.Catalog {
-			reply.Document = l.picture.document
+		if request.GetNeedDocument() && request.GetCatalog() < reply.Catalog {
+			if l.picture.packed == nil {
+				l.picture.packed = pack(l.picture.document)
+			}
+			reply.Document = l.picture.packed
 		}
 	}
 	after := request.GetChange()
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -14,6 +14,8 @@
 const (
 	// tellEvery is the time between two exchanges with the coordinator.
 	tellEvery = 400 * time.Millisecond
+	// tellEach makes it longer where there are many instances.
+	tellEach = 8 * time.Millisecond
 	// tellTimeout bounds an exchange; one takes a few milliseconds.
 	tellTimeout = 600 * time.Millisecond
 	// peerIdle is how long an unused connection to the coordinator is kept.
@@ -43,9 +45,15 @@
 	return client
 }
 
+// tellPause returns the time between two exchanges. It grows with the members,
+// so that the coordinator's work does not.
+func (l *Loop) tellPause() time.Duration {
+	return max(tellEvery, time.Duration(len(l.picture.members))*tellEach)
+}
+
 // stepTell exchanges with the coordinator if that is due.
 func (l *Loop) stepTell(now time.Time) {
-	if l.telling || now.Sub(l.tellAt) < tellEvery {
+	if l.telling || now.Sub(l.tellAt) < l.tellPause() {
 		return
 	}
 	l.tellAt = now
@@ -108,6 +116,7 @@
 	if l.picture.catalog != nil {
 		request.Catalog = l.picture.catalog.Version()
 	}
+	request.NeedDocument = l.needDocument
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
 			Service: string(key.Service), Model: string(key.Model), Arrivals: int32(m.Arrivals), Waiting: int32(m.Waiting), Running: int32(m.Running), Tokens: int64(m.Tokens),
@@ -126,9 +135,10 @@
 // takeReply takes the coordinator's answer.
 func (l *Loop) takeReply(address string, reply *syncpb.ExchangeReply, err error, began, now time.Time) {
 	if err != nil {
-		if l.position.coordinator != "" && now.Sub(l.answered) >= silentAfter {
+		if l.position.coordinator != "" && now.Sub(l.answered) >= l.silence() {
 			l.logger.Warn("dependency_lost", "dependency", "coordinator", "address", address, "reason", err, "silent_ms", now.Sub(l.answered).Milliseconds())
 			l.position = position{}
+			l.began = now
 		}
 		return
 	}
@@ -159,8 +169,14 @@
 	if learned := began.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond); learned.After(l.picture.learned) {
 		l.picture.learned = learned
 	}
-	if document := reply.GetDocument(); len(document) > 0 {
-		if catalog, err := l.options.Decode(document); err == nil {
+	l.behind = l.picture.catalog == nil || reply.GetCatalog() > l.picture.catalog.Version()
+	if packed := reply.GetDocument(); len(packed) > 0 {
+		l.needDocument = false
+		document, err := unpack(packed)
+		if err != nil {
+			l.logger.Warn("catalog_ignored", "origin", "coordinator", "reason", err)
+		} else if catalog, err := l.options.Decode(document); err == nil {
+			l.behind = false
 			l.setCatalog(document, catalog, "coordinator")
 		} else {
 			l.logger.Warn("catalog_ignored", "origin", "coordinator", "reason", err)
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -14,7 +14,7 @@
 
 const (
 	// memberTime is how long an instance is a member after its last exchange.
-	memberTime = 1800 * time.Millisecond
+	memberTime = 2200 * time.Millisecond
 	// wantTime is how long a model is wanted after the last call for it.
 	wantTime = 1500 * time.Millisecond
 	// maxGone bounds the remembered departures; an instance that is further
--- a/coord/view.go
+++ b/coord/view.go
@@ -80,8 +80,10 @@
 
 // picture is the control loop's own account, from which views are made.
 type picture struct {
-	catalog   *site.Catalog
-	document  []byte
+	catalog  *site.Catalog
+	document []byte
+	// packed is the compressed document, made when it is first asked for.
+	packed    []byte
 	upstreams map[cardamom.UpstreamID]*site.Upstream
 	others    map[cardamom.UpstreamID]Others
 	members   []Member
--- a/front/provide.go
+++ b/front/provide.go
@@ -30,7 +30,7 @@
 func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, logger hclog.Logger) coord.Options {
 	return coord.Options{
 		ID: settings.instance, Entry: settings.listen.Entry, Sync: settings.listen.Sync, Seeds: settings.seeds,
-		Term: settings.lease, Fenced: settings.fenced, Table: platform.NewTable(store, ownTable),
+		Term: settings.lease, Fenced: settings.fenced, Reluctance: settings.Reluctance(), Clock: store.Clock, Table: platform.NewTable(store, ownTable),
 		Catalogs: platform.NewCatalogs(store, logger), Upstreams: platform.NewUpstreams(store, logger), Engines: platform.NewEngines(),
 		Decode: platform.DecodeCatalog, Demand: counter, Ledger: ledger, Logger: logger.Named("coord"),
 	}
--- a/front/settings.go
+++ b/front/settings.go
@@ -26,6 +26,13 @@
 	defaultSlack    = 20
 	defaultMemoryMB = 256
 	defaultLevel    = "info"
+
+	// weakProcessor in cores and weakLink in Mbit/s are too little to answer
+	// many instances.
+	weakProcessor = 0.35
+	weakLink      = 40
+	// reluctance is how much later a weak instance takes the lease.
+	reluctance = 1500 * time.Millisecond
 )
 
 // Settings are what one instance is started with.
@@ -36,6 +43,8 @@
 	seeds      []string
 	listen     Listen
 	memory     int64
+	processor  float64
+	link       float64
 	level      string
 	lease      time.Duration
 	fenced     bool
@@ -65,6 +74,15 @@
 // LogLevel returns the least level that is logged.
 func (s *Settings) LogLevel() string { return s.level }
 
+// Reluctance returns how much later than others an instance takes the lease:
+// one with a weak processor or link is a poor coordinator.
+func (s *Settings) Reluctance() time.Duration {
+	if (s.processor > 0 && s.processor < weakProcessor) || (s.link > 0 && s.link < weakLink) {
+		return reluctance
+	}
+	return 0
+}
+
 // Memory returns how many bytes the process may use.
 func (s *Settings) Memory() int64 { return s.memory }
 
@@ -74,6 +92,8 @@
 	Store      string   `json:"store"`
 	Seeds      []string `json:"seeds"`
 	MemoryMB   float64  `json:"memory_mb"`
+	Processor  float64  `json:"processor_cores"`
+	LinkMbps   float64  `json:"link_mbps"`
 	LogLevel   string   `json:"log_level"`
 	Listen     struct {
 		Entry     string `json:"entry"`
@@ -129,7 +149,7 @@
 	return &Settings{
 		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.Place(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
 		listen: Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
-		memory: int64(wire.MemoryMB * (1 << 20)), level: wire.LogLevel,
+		memory: int64(wire.MemoryMB * (1 << 20)), processor: wire.Processor, link: wire.LinkMbps, level: wire.LogLevel,
 		lease: ms(wire.LeaseMS), fenced: wire.FencesChecked, grace: ms(wire.GraceMS), ttl: ms(wire.AddressTTLMS),
 		retries: retry.Limits{Ratio: wire.Retries.Ratio, Window: ms(wire.Retries.WindowMS), Slack: wire.Retries.Slack},
 	}, nil
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	state := lease.New("entry-1", 3*time.Second)
-//	state.Observe(lease.Row{Version: 12, Holder: "entry-2"}, now)
+//	state.Observe(lease.Row{Version: 12, Holder: "entry-2"}, clock, now)
 //	switch state.Next(now) {
 //	case lease.Take, lease.Renew:
 //	    // write the row if it is still at state.Version(), then
@@ -40,6 +40,9 @@
 	Holder   cardamom.InstanceID
 	Address  string
 	Released bool
+	// Renewed is when the row was written by the store's steady clock, in
+	// milliseconds; 0 if unknown.
+	Renewed int64
 }
 
 // Action is what to do next about the lease.
@@ -72,8 +75,9 @@
 	return &State{own: own, term: term}
 }
 
-// Observe takes the row as it was read.
-func (s *State) Observe(row Row, now time.Time) {
+// Observe takes the row as it was read when the store's clock showed so many
+// milliseconds, 0 if that is unknown.
+func (s *State) Observe(row Row, clock int64, now time.Time) {
 	if s.known && row.Version <= s.row.Version {
 		return
 	}
@@ -84,6 +88,9 @@
 		s.notBefore = now.Add(s.term)
 	}
 	s.row, s.seen, s.known = row, now, true
+	if row.Renewed > 0 && clock > row.Renewed {
+		s.seen = now.Add(-time.Duration(clock-row.Renewed) * time.Millisecond)
+	}
 }
 
 // Next returns what to do at the time.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -28,6 +28,8 @@
 	Version  uint64 `json:"version"`
 	Holder   string `json:"holder"`
 	Released bool   `json:"released"`
+	Renewed  int64  `json:"renewed_ms"`
+	Clock    int64  `json:"clock_ms"`
 	Began    *int64 `json:"began_ms"`
 	Fenced   bool   `json:"fenced"`
 	Next     string `json:"next"`
@@ -61,7 +63,7 @@
 		now := at(s.At)
 		switch s.Do {
 		case "observe":
-			state.Observe(lease.Row{Version: s.Version, Holder: cardamom.InstanceID(s.Holder), Released: s.Released}, now)
+			state.Observe(lease.Row{Version: s.Version, Holder: cardamom.InstanceID(s.Holder), Released: s.Released, Renewed: s.Renewed}, s.Clock, now)
 		case "written":
 			began := now
 			if s.Began != nil {
