--- a/coord/loop.go
+++ b/coord/loop.go
@@ -170,8 +170,14 @@
 	l.stepLease(now)
 	l.stepTell(now)
 	wait := tickEvery
-	if l.tenure != nil && l.stepTenure(now) {
-		wait = quickTick
+	if t := l.tenure; t != nil {
+		if now.Sub(t.stepped) >= quickTick {
+			t.stepped = now
+			t.busy = l.stepTenure(now)
+		}
+		if t.busy {
+			wait = quickTick
+		}
 	}
 	if l.changed {
 		l.changed = false
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -17,6 +17,8 @@
 	memberTime = 2200 * time.Millisecond
 	// wantTime is how long a model is wanted after the last call for it.
 	wantTime = 1500 * time.Millisecond
+	// sumEvery is the time between two sums of the members' demand.
+	sumEvery = 100 * time.Millisecond
 	// maxGone bounds the remembered departures; an instance that is further
 	// behind gets the whole list.
 	maxGone = 512
@@ -41,6 +43,11 @@
 	loads     map[cardamom.UpstreamID]Others
 	awaits    map[*await]bool
 	pausedOn  bool
+	// stepped is when the plan was last looked at, busy whether it waits for
+	// something, summed when demand was last summed.
+	stepped time.Time
+	busy    bool
+	summed  time.Time
 }
 
 // world is the plan of one service.
@@ -191,7 +198,10 @@
 func (l *Loop) stepTenure(now time.Time) bool {
 	t := l.tenure
 	t.adopt(now)
-	t.countDemand(now)
+	if now.Sub(t.summed) >= sumEvery {
+		t.summed = now
+		t.countDemand(now)
+	}
 	pending := len(t.awaits) > 0
 	allowed := l.lease.MayOrder(now, l.options.Fenced)
 	if allowed == t.pausedOn {
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -102,15 +102,43 @@
 	return float64(len(recent)) < max(allowed, 1)
 }
 
-// copies counts the engines that hold a model, load it or make room for it.
+// copies returns how many engines hold a model, load it or make room for it.
 func (w *World) copies(model cardamom.ModelID) int {
-	count := 0
+	if w.counted != w.changes || w.copyCounts == nil {
+		w.countCopies()
+	}
+	return w.copyCounts[model]
+}
+
+// countCopies counts the copies of all models.
+func (w *World) countCopies() {
+	w.copyCounts = make(map[cardamom.ModelID]int, len(w.spec.Models))
+	w.atHands = make(map[cardamom.ModelID]bool, len(w.spec.Models))
 	for _, e := range w.engines {
-		if e.State == cardamom.Live && (e.willHold(model) || e.purpose == model) {
-			count++
+		if e.State != cardamom.Live {
+			continue
+		}
+		for model := range e.Held {
+			if e.willHold(model) {
+				w.copyCounts[model]++
+			}
+		}
+		if p := e.pending; p != nil && p.order.Adapter == "" && p.order.Kind == site.Load {
+			if _, ok := e.Held[p.order.Model]; !ok {
+				w.copyCounts[p.order.Model]++
+			}
+		}
+		if e.purpose != "" && !e.willHold(e.purpose) {
+			w.copyCounts[e.purpose]++
+		}
+		for model := range e.OnDisk {
+			w.atHands[model] = true
+		}
+		for model := range e.InMemory {
+			w.atHands[model] = true
 		}
 	}
-	return count
+	w.counted = w.changes
 }
 
 // willHold tells whether the engine holds the model once its order is done.
@@ -186,6 +214,7 @@
 	spec, ok := w.spec.Models[e.purpose]
 	if !ok || e.State != cardamom.Live || now.After(e.within) || e.willHold(e.purpose) {
 		e.purpose = ""
+		w.copyCounts = nil
 		return Move{}, false
 	}
 	if !e.free(now) || (w.source(e, e.purpose) == fromStore && !w.withinRate(now)) {
@@ -194,6 +223,7 @@
 	victim, _, fits := w.room(e, spec, "wanted", now)
 	if !fits {
 		e.purpose = ""
+		w.copyCounts = nil
 		return Move{}, false
 	}
 	return w.step(e, e.purpose, victim, "room", now), true
@@ -257,12 +287,10 @@
 
 // atHand tells whether some engine can load the model without the store.
 func (w *World) atHand(model cardamom.ModelID) bool {
-	for _, e := range w.engines {
-		if e.State == cardamom.Live && (e.OnDisk[model] || e.InMemory[model]) {
-			return true
-		}
+	if w.counted != w.changes || w.copyCounts == nil {
+		w.countCopies()
 	}
-	return false
+	return w.atHands[model]
 }
 
 // loadMove returns the next order that brings a model onto the engine where
--- a/plan/world.go
+++ b/plan/world.go
@@ -116,6 +116,10 @@
 	// began is when the first demand was counted.
 	began   time.Time
 	changes uint64
+	// copyCounts and atHands were counted at the change number counted.
+	counted    uint64
+	copyCounts map[cardamom.ModelID]int
+	atHands    map[cardamom.ModelID]bool
 }
 
 // want is a model or adapter that requests wait for.
@@ -195,7 +199,7 @@
 	}
 	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
 	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > settleTime {
-		e.pending = nil
+		e.pending, w.copyCounts = nil, nil
 	}
 }
 
@@ -209,6 +213,7 @@
 			e.loaded[model] = now
 		}
 	}
+	w.copyCounts = nil
 	accepted := orders > e.orders
 	e.orders, e.Held = orders, held
 	if len(inMemory)+len(onDisk) > 0 {
