--- a/plan/decide.go
+++ b/plan/decide.go
@@ -22,6 +22,8 @@
 	// firstCopies how many a model keeps until then.
 	firstLook   = 2 * time.Second
 	firstCopies = 3
+	// crowding is the waiting in seconds that a fully busy engine costs.
+	crowding = 1.5
 	// busyRate is the arrivals a second from which a model has a second copy
 	// against the loss of an engine.
 	busyRate = 1.5
@@ -161,13 +163,12 @@
 	if !ok {
 		return 1
 	}
-	// What is remembered approaches the rate times the memory.
-	span := memoryOf.Seconds() * (1 - math.Exp(-seen/memoryOf.Seconds()))
+	span := w.span(now)
 	count := 1
 	if u.decayed(now)/span >= busyRate {
 		count = 2
 	}
-	count = max(count, int(math.Ceil(u.tokens*u.left(now)/span/perCopyTokens)))
+	count = max(count, int(math.Ceil(w.tokenRate(model, now)/perCopyTokens)))
 	count = max(count, int(math.Ceil(float64(u.running+u.waiting)/perCopy)))
 	return min(count, maxWantedCopies)
 }
@@ -314,7 +315,7 @@
 		if !fits {
 			continue
 		}
-		if cost := w.loadTime(e, model).Seconds() + loss; cost < least {
+		if cost := w.loadTime(e, model).Seconds() + loss + crowding*w.crowd(e, model, now); cost < least {
 			best, drop, least = e, victim, cost
 		}
 	}
@@ -324,6 +325,32 @@
 	return w.step(best, model, drop, reason, now), true
 }
 
+// crowd returns how busy an engine would be with a copy of the model, in parts
+// of what one copy should read: models on one engine wait for each other.
+func (w *World) crowd(e *engine, model cardamom.ModelID, now time.Time) float64 {
+	total := w.tokenRate(model, now) / float64(w.copies(model)+1)
+	for held := range e.Held {
+		total += w.tokenRate(held, now) / float64(max(w.copies(held), 1))
+	}
+	return total / perCopyTokens
+}
+
+// tokenRate returns the prompt tokens a second that a model is asked for.
+func (w *World) tokenRate(model cardamom.ModelID, now time.Time) float64 {
+	u, ok := w.uses[model]
+	if !ok {
+		return 0
+	}
+	return u.tokens * u.left(now) / w.span(now)
+}
+
+// span returns the seconds that what is remembered stands for: it approaches
+// the rate times the memory.
+func (w *World) span(now time.Time) float64 {
+	seen := max(w.seen(now), firstLook).Seconds()
+	return memoryOf.Seconds() * (1 - math.Exp(-seen/memoryOf.Seconds()))
+}
+
 // free tells whether the engine takes an order now.
 func (e *engine) free(now time.Time) bool {
 	return e.State == cardamom.Live && e.pending == nil && !e.unsure && !now.Before(e.rest)
