--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -114,7 +114,7 @@
 	}
 	request := &conns.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, Once: !x.route.Repeatable(),
-		Header: s.Dialect.Forward(endToEnd(x.r.Header), Send{Upstream: upstream.ID, Left: time.Until(x.deadline()), Resume: resume}),
+		Header: s.Dialect.Forward(endToEnd(x.r.Header), Send{Upstream: upstream.ID, Left: time.Until(x.deadline()), Resume: resume, Urgency: x.route.Urgency()}),
 	}
 	x.last = upstream.ID
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -64,6 +64,8 @@
 	Upstream cardamom.UpstreamID
 	Left     time.Duration
 	Resume   string
+	// Urgency is 0 for what an engine should start first, 9 for the last.
+	Urgency int
 }
 
 // Reply is what a response's headers say of it.
