--- a/plan/decide.go
+++ b/plan/decide.go
@@ -25,8 +25,13 @@
 	// crowding is the waiting in seconds that a fully busy engine costs.
 	crowding = 1.5
 	// busyRate is the arrivals a second from which a model has a second copy
-	// against the loss of an engine.
-	busyRate = 1.5
+	// against the loss of an engine; scarceRate where places are scarce.
+	busyRate   = 1.5
+	scarceRate = 4.0
+	// scarceSwaps is the part of the engines that are busy with swaps from
+	// which places count as scarce, swapTime what one swap takes in seconds.
+	scarceSwaps = 0.08
+	swapTime    = 1.8
 	// youngTime is how long a loaded model is kept for the requests that it
 	// was loaded for.
 	youngTime = 1200 * time.Millisecond
@@ -165,7 +170,7 @@
 	}
 	span := w.span(now)
 	count := 1
-	if u.decayed(now)/span >= busyRate {
+	if u.decayed(now)/span >= w.secondRate(now) {
 		count = 2
 	}
 	count = max(count, int(math.Ceil(w.tokenRate(model, now)/perCopyTokens)))
@@ -173,6 +178,17 @@
 	return min(count, maxWantedCopies)
 }
 
+// secondRate returns the arrivals a second from which a second copy is worth
+// its place: each takes the place of a rare model, whose requests then wait for
+// a swap.
+func (w *World) secondRate(now time.Time) float64 {
+	busy := w.swaps.decayed(now) / w.span(now) * swapTime / float64(max(len(w.engines), 1))
+	if busy > scarceSwaps {
+		return scarceRate
+	}
+	return busyRate
+}
+
 // Decide returns the orders to give now: for what requests wait for first, then
 // copies for models in demand, then models that no engine has at hand.
 func (w *World) Decide(now time.Time) []Move {
@@ -191,7 +207,11 @@
 			give(w.adapterMove(key, now))
 		}
 		if w.copies(key.model) == 0 {
-			give(w.loadMove(key.model, "wanted", now))
+			move, ok := w.loadMove(key.model, "wanted", now)
+			if ok {
+				w.swaps.count, w.swaps.at = w.swaps.decayed(now)+1, now
+			}
+			give(move, ok)
 		}
 	}
 	for _, model := range w.models() {
--- a/plan/world.go
+++ b/plan/world.go
@@ -113,6 +113,8 @@
 	loads   []time.Time
 	atOnce  float64
 	since   time.Time
+	// swaps counts loads that requests waited for.
+	swaps use
 	// began is when the first demand was counted.
 	began   time.Time
 	changes uint64
