--- a/front/front.go
+++ b/front/front.go
@@ -70,10 +70,14 @@
 // requests.
 type gate struct {
 	leaving atomic.Bool
-	closed  atomic.Bool
+	closing context.Context
+	close   context.CancelFunc
 }
 
-func newGate() *gate { return &gate{} }
+func newGate() *gate {
+	closing, cancel := context.WithCancel(context.Background())
+	return &gate{closing: closing, close: cancel}
+}
 
 // service is one listening server. It implements suture.Service.
 type service struct {
@@ -231,7 +235,7 @@
 		i.logger.Warn("lease_not_released", "reason", err)
 	}
 	pause.For(context.Background(), i.settings.grace*acceptShare/100-time.Since(began))
-	i.gate.closed.Store(true)
+	i.gate.close()
 	drainCtx, cancelDrain := context.WithTimeout(context.Background(), i.settings.grace-finishMargin-time.Since(began))
 	defer cancelDrain()
 	if err := i.entry.Shutdown(drainCtx); err != nil {
--- a/front/provide.go
+++ b/front/provide.go
@@ -9,6 +9,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/relay"
@@ -22,7 +23,7 @@
 // Set provides all parts of an instance.
 var Set = wire.NewSet(
 	provideStore, provideOptions, provideDesk, providePool, provideRelay, provideBudget,
-	coord.New, demand.New, health.New, poison.New, tally.New, newGate, New,
+	coord.New, demand.New, health.New, pace.New, poison.New, tally.New, newGate, New,
 )
 
 func provideStore(settings *Settings) *platform.Store { return platform.NewStore(settings.store) }
@@ -44,9 +45,9 @@
 
 func provideBudget(settings *Settings) *retry.Budget { return retry.New(settings.retries) }
 
-func provideRelay(settings *Settings, loop *coord.Loop, desk *await.Desk, pool *conns.Pool, counter *demand.Counter, record *health.Record, budget *retry.Budget, ledger *poison.Ledger, counts *tally.Tally, g *gate, logger hclog.Logger) *relay.Server {
+func provideRelay(settings *Settings, loop *coord.Loop, desk *await.Desk, pool *conns.Pool, counter *demand.Counter, record *health.Record, waits *pace.Record, budget *retry.Budget, ledger *poison.Ledger, counts *tally.Tally, g *gate, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
 		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Desk: desk, Pool: pool, Demand: counter,
-		Health: record, Budget: budget, Ledger: ledger, Counts: counts, Leaving: g.leaving.Load, Closed: g.closed.Load, Logger: logger.Named("relay"),
+		Health: record, Pace: waits, Budget: budget, Ledger: ledger, Counts: counts, Leaving: g.leaving.Load, Closing: g.closing, Logger: logger.Named("relay"),
 	})
 }
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -10,6 +10,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/tally"
 	"github.com/hashicorp/go-hclog"
@@ -32,9 +33,10 @@
 	pool := providePool(tallyTally)
 	desk := provideDesk(loop)
 	record := health.New()
+	paceRecord := pace.New()
 	budget := provideBudget(settings)
 	frontGate := newGate()
-	server := provideRelay(settings, loop, desk, pool, counter, record, budget, ledger, tallyTally, frontGate, logger)
+	server := provideRelay(settings, loop, desk, pool, counter, record, paceRecord, budget, ledger, tallyTally, frontGate, logger)
 	instance := New(settings, loop, pool, server, tallyTally, frontGate, logger)
 	return instance
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -9,6 +9,8 @@
 package pick
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -24,6 +26,10 @@
 	// sharedWeight is how many requests longer the queue of the upstream that
 	// keeps the prompt's shared parts may be.
 	sharedWeight = 4.0
+	// waitWeight is how many a second until the first event equals, beyond the
+	// usual time that a prompt takes to be read.
+	waitWeight = 12.0
+	usualWait  = 300 * time.Millisecond
 	// suspendedWeight puts unreachable upstreams behind all others.
 	suspendedWeight = 1000.0
 )
@@ -39,6 +45,8 @@
 	OtherFailures int
 	Suspended     bool
 	Near          bool
+	// Expected is how long the first event is expected to take.
+	Expected time.Duration
 }
 
 // Full tells whether the candidate takes no further request now.
@@ -54,6 +62,7 @@
 			continue
 		}
 		score := float64(c.Running) + failWeight*c.FailureRate + otherFailWeight*float64(c.OtherFailures)
+		score += waitWeight * max(c.Expected-usualWait, 0).Seconds()
 		if !c.Near {
 			score += farWeight
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -55,6 +56,7 @@
 	tried    map[cardamom.UpstreamID]bool
 	last     cardamom.UpstreamID
 	waited   time.Duration
+	wait     *pace.Wait
 	// first is the time from the arrival to the first event passed on.
 	first time.Duration
 	// started means that the response's header has gone to the caller.
@@ -88,10 +90,19 @@
 		x.end("gone", "caller_left", 0)
 		return true
 	}
-	if time.Until(x.deadline()) > leastLeft {
+	if time.Until(x.deadline()) <= leastLeft {
+		x.timeOut()
+		return true
+	}
+	return x.runs == 0 && x.leaving()
+}
+
+// leaving refuses a request that has not run if the instance is at its end.
+func (x *exchange) leaving() bool {
+	if x.server.Closing.Err() == nil {
 		return false
 	}
-	x.timeOut()
+	x.refuse("leaving", leaveWait)
 	return true
 }
 
@@ -117,6 +128,8 @@
 		Header: s.Dialect.Forward(endToEnd(x.r.Header), Send{Upstream: upstream.ID, Left: time.Until(x.deadline()), Resume: resume, Urgency: x.route.Urgency()}),
 	}
 	x.last = upstream.ID
+	x.wait = s.Pace.Sent(upstream.ID, now)
+	defer x.wait.Ended()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
 	if errors.Is(err, conns.ErrNotSent) {
 		return x.notSent(upstream, err)
--- a/relay/find.go
+++ b/relay/find.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -86,7 +87,7 @@
 	now := time.Now()
 	_, needsModel := x.engine()
 	var candidates []pick.Candidate
-	listed := 0
+	listed, slow := 0, 0
 	for _, upstream := range view.Upstreams(x.service) {
 		if upstream.State != cardamom.Live || x.tried[upstream.ID] {
 			continue
@@ -96,6 +97,15 @@
 			continue
 		}
 		others := view.Others(upstream.ID)
+		var expected time.Duration
+		if needsModel {
+			expected = s.Pace.Expected(upstream.ID, now)
+			if now.Sub(x.arrived)+expected > x.patience() {
+				// What is sent there now gets its first event too late.
+				slow++
+				continue
+			}
+		}
 		limit := upstream.Slots
 		if limit > 0 && !needsModel {
 			limit += plainQueue
@@ -104,12 +114,18 @@
 			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: limit,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
 			Suspended: s.Health.Suspended(upstream.ID, now), Near: upstream.Place == s.DataCentre,
+			Expected: expected,
 		})
 	}
 	if id, ok := pick.Best(candidates, x.ask.Shared); ok {
 		upstream, _ := view.Upstream(id)
 		return upstream, s.places.free, true
 	}
+	if slow > 0 && len(candidates) == 0 {
+		x.stopWaiting()
+		x.giveUp("upstreams_slow")
+		return nil, nil, false
+	}
 	x.pend(needsModel, len(candidates), listed)
 	return nil, nil, false
 }
@@ -192,7 +208,11 @@
 		return
 	}
 	s.Demand.Waiting(x.key, 1)
-	verdict := s.Desk.Wait(x.ctx, await.Key{Service: x.service, Model: x.ask.Model, Adapter: x.ask.Adapter}, left)
+	ctx, cancel := context.WithCancel(x.ctx)
+	stop := context.AfterFunc(s.Closing, cancel)
+	verdict := s.Desk.Wait(ctx, await.Key{Service: x.service, Model: x.ask.Model, Adapter: x.ask.Adapter}, left)
+	stop()
+	cancel()
 	s.Demand.Waiting(x.key, -1)
 	if verdict.Ready {
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
@@ -106,13 +107,14 @@
 	Pool       *conns.Pool
 	Demand     *demand.Counter
 	Health     *health.Record
+	Pace       *pace.Record
 	Budget     *retry.Budget
 	Ledger     *poison.Ledger
 	Counts     Counts
-	// Leaving tells whether connections are to be closed, Closed whether no
-	// further request is taken.
+	// Leaving tells whether connections are to be closed. Closing ends when no
+	// further request is taken and none waits any longer.
 	Leaving func() bool
-	Closed  func() bool
+	Closing context.Context
 	Logger  hclog.Logger
 }
 
@@ -133,8 +135,7 @@
 	}
 	x := &exchange{server: s, w: w, r: r, arrived: arrived, ask: s.Dialect.Ask(r.Header)}
 	x.log = s.Logger
-	if s.Closed() {
-		x.refuse("leaving", leaveWait)
+	if x.leaving() {
 		return
 	}
 	view := s.Views.View()
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -113,6 +113,9 @@
 	buffer := make([]byte, readSize)
 	for {
 		n, err := response.Read(buffer)
+		if n > 0 {
+			x.wait.Started(time.Now())
+		}
 		partial = append(partial, buffer[:n]...)
 		if end := lastEvent(partial); end > 0 {
 			if !x.pass(response, partial[:end]) {
