--- a/coord/tell.go
+++ b/coord/tell.go
@@ -263,7 +263,8 @@
 			targets <- target{own: true}
 			return
 		}
-		if address := l.position.coordinator; address != "" && l.heard(now) {
+		// One that lost the platform still plans until another takes over.
+		if address := l.position.coordinator; address != "" && now.Sub(l.answered) < l.silence() {
 			targets <- target{client: l.peers.dial(address)}
 			return
 		}
