See a rise of a model's prompt tokens within three seconds

Cause: after a shift of demand one engine held the busiest model for 8 s (first events after 2 s), since the copies follow an average over 8 s.

--- a/plan/decide.go
+++ b/plan/decide.go
@@ -168,7 +168,7 @@
 	if !ok {
 		return 1
 	}
-	span := w.span(now)
+	span := w.span(now, memoryOf)
 	count := 1
 	if u.decayed(now)/span >= w.secondRate(now) {
 		count = 2
@@ -182,7 +182,7 @@
 // its place: each takes the place of a rare model, whose requests then wait for
 // a swap.
 func (w *World) secondRate(now time.Time) float64 {
-	busy := w.swaps.decayed(now) / w.span(now) * swapTime / float64(max(len(w.engines), 1))
+	busy := w.swaps.decayed(now) / w.span(now, memoryOf) * swapTime / float64(max(len(w.engines), 1))
 	if busy > scarceSwaps {
 		return scarceRate
 	}
@@ -361,14 +361,14 @@
 	if !ok {
 		return 0
 	}
-	return u.tokens * u.left(now) / w.span(now)
+	return u.tokens * u.left(now, tokenMemory) / w.span(now, tokenMemory)
 }
 
-// span returns the seconds that what is remembered stands for: it approaches
+// span returns the seconds that what is remembered for a time stands for: it approaches
 // the rate times the memory.
-func (w *World) span(now time.Time) float64 {
+func (w *World) span(now time.Time, memory time.Duration) float64 {
 	seen := max(w.seen(now), firstLook).Seconds()
-	return memoryOf.Seconds() * (1 - math.Exp(-seen/memoryOf.Seconds()))
+	return memory.Seconds() * (1 - math.Exp(-seen/memory.Seconds()))
 }
 
 // free tells whether the engine takes an order now.
--- a/plan/world.go
+++ b/plan/world.go
@@ -30,6 +30,9 @@
 const (
 	// memoryOf is the time over which a model's demand is remembered.
 	memoryOf = 8 * time.Second
+	// tokenMemory is that for the size of its prompts. It is shorter, since a
+	// rise has to be met before the engine that holds the model is flooded.
+	tokenMemory = 3 * time.Second
 	// priorArrivals and priorTime give models without any demand a small rate.
 	priorArrivals = 0.5
 	priorTime     = 10 * time.Second
@@ -63,11 +66,11 @@
 }
 
 // decayed returns the remembered arrivals at the time.
-func (u *use) decayed(now time.Time) float64 { return u.count * u.left(now) }
+func (u *use) decayed(now time.Time) float64 { return u.count * u.left(now, memoryOf) }
 
-// left returns the part of what is remembered that still counts.
-func (u *use) left(now time.Time) float64 {
-	return math.Exp(-now.Sub(u.at).Seconds() / memoryOf.Seconds())
+// left returns the part of what is remembered for a time that still counts.
+func (u *use) left(now time.Time, memory time.Duration) float64 {
+	return math.Exp(-now.Sub(u.at).Seconds() / memory.Seconds())
 }
 
 // rate returns the expected arrivals a second.
@@ -268,9 +271,8 @@
 		w.began = now
 	}
 	u := w.use(model)
-	left := u.left(now)
-	u.count = u.count*left + float64(count)
-	u.tokens = u.tokens*left + float64(tokens)
+	u.count = u.decayed(now) + float64(count)
+	u.tokens = u.tokens*u.left(now, tokenMemory) + float64(tokens)
 	u.at, u.last = now, now
 }
 
