--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,175 @@
+package plan_test
+
+import (
+	"embed"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/site"
+)
+
+//go:embed testdata/*.json
+var scripts embed.FS
+
+func TestPlan(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plan")
+}
+
+// script is a deployment and what happens to it.
+type script struct {
+	Load    string             `json:"load"`
+	Models  map[string]int     `json:"models"`
+	Engines map[string]fixture `json:"engines"`
+	Steps   []step             `json:"steps"`
+}
+
+// fixture is an engine at the start: what it holds and has on disk.
+type fixture struct {
+	Held []string `json:"held"`
+	Disk []string `json:"disk"`
+}
+
+type step struct {
+	At      int64    `json:"at_ms"`
+	Do      string   `json:"do"`
+	Engine  string   `json:"engine"`
+	Model   string   `json:"model"`
+	Adapter string   `json:"adapter"`
+	Count   int      `json:"count"`
+	Tokens  int      `json:"tokens"`
+	Orders  int64    `json:"orders"`
+	Busy    bool     `json:"busy"`
+	Held    []string `json:"held"`
+	Beat    int64    `json:"beat"`
+	Result  string   `json:"result"`
+	// Moves are the orders that are expected, as "load MODEL[/ADAPTER] ENGINE".
+	Moves []string `json:"moves"`
+	// Number is the expected number of orders where their choice is free.
+	Number *int `json:"number"`
+	// ReadyMS is the expected wait of a request for the model.
+	ReadyMS *int64 `json:"ready_ms"`
+}
+
+var results = map[string]site.OrderResult{
+	"accepted": site.OrderAccepted, "holds": site.OrderHolds, "conflict": site.OrderConflict, "unanswered": site.OrderUnknown,
+}
+
+var _ = Describe("the plan", func() {
+	files, err := scripts.ReadDir("testdata")
+	if err != nil {
+		panic(err)
+	}
+	for _, file := range files {
+		It("follows "+file.Name(), func() {
+			body, err := scripts.ReadFile("testdata/" + file.Name())
+			Expect(err).NotTo(HaveOccurred())
+			var s script
+			Expect(json.Unmarshal(body, &s)).To(Succeed())
+			play(s)
+		})
+	}
+})
+
+// spec describes engines that hold two models of 70 and eight adapters.
+func spec(s script) *site.Engine {
+	engine := &site.Engine{Slots: 8, MemoryMB: 150, AdapterSlots: 2, StoreLoads: 3, Models: make(map[cardamom.ModelID]site.Model)}
+	for name, adapters := range s.Models {
+		engine.Models[cardamom.ModelID(name)] = site.Model{
+			Name: cardamom.ModelID(name), SizeMB: 70, Adapters: adapters, AdapterMB: 1,
+			FromStore: 6 * time.Second, FromDisk: 1300 * time.Millisecond, FromMemory: 600 * time.Millisecond,
+		}
+	}
+	return engine
+}
+
+func held(names []string) map[cardamom.ModelID][]string {
+	list := make(map[cardamom.ModelID][]string)
+	for _, name := range names {
+		list[cardamom.ModelID(name)] = nil
+	}
+	return list
+}
+
+func set(names []string) map[cardamom.ModelID]bool {
+	list := make(map[cardamom.ModelID]bool)
+	for _, name := range names {
+		list[cardamom.ModelID(name)] = true
+	}
+	return list
+}
+
+func upstream(id string, f fixture, beat int64) *site.Upstream {
+	return &site.Upstream{
+		Upstream: cardamom.Upstream{ID: cardamom.UpstreamID(id), Service: "s", State: cardamom.Live, Address: "127.0.0.1:1"},
+		Born:     1, Beat: beat, Held: held(f.Held), OnDisk: set(append(f.Disk, f.Held...)),
+	}
+}
+
+// onDisk returns what an engine keeps copies of: all that it ever held.
+func onDisk(s script, st step) []string {
+	f := s.Engines[st.Engine]
+	return append(append(append([]string(nil), f.Disk...), f.Held...), st.Held...)
+}
+
+func describe(m plan.Move) string {
+	name := string(m.Order.Model)
+	if m.Order.Adapter != "" {
+		name += "/" + m.Order.Adapter
+	}
+	return fmt.Sprintf("%s %s %s", m.Order.Kind, name, m.Upstream.ID)
+}
+
+func play(s script) {
+	start := time.Unix(1000, 0)
+	world := plan.New(spec(s), true, start)
+	for id, f := range s.Engines {
+		world.Update(upstream(id, f, 1), start)
+		world.Report(cardamom.UpstreamID(id), site.Report{Held: held(f.Held), OnDisk: set(append(f.Disk, f.Held...))}, start)
+	}
+	given := make(map[string]plan.Move)
+	for i, step := range s.Steps {
+		now := start.Add(time.Duration(step.At) * time.Millisecond)
+		id := cardamom.UpstreamID(step.Engine)
+		switch step.Do {
+		case "arrive":
+			world.Arrived(cardamom.ModelID(step.Model), step.Count, step.Tokens, now)
+		case "want":
+			world.Want(cardamom.ModelID(step.Model), step.Adapter, now.Add(time.Second))
+		case "report":
+			world.Report(id, site.Report{Orders: step.Orders, Busy: step.Busy, Held: held(step.Held), OnDisk: set(onDisk(s, step))}, now)
+		case "register":
+			world.Update(upstream(step.Engine, fixture{Held: step.Held}, step.Beat), now)
+		case "answer":
+			world.Answered(given[step.Engine], results[step.Result], now)
+		case "gone":
+			world.Gone(id)
+		}
+		if step.Moves == nil && step.Number == nil && step.ReadyMS == nil {
+			continue
+		}
+		if step.ReadyMS != nil {
+			wait, known := world.ReadyIn(cardamom.ModelID(step.Model), step.Adapter, now)
+			Expect(known).To(BeTrue(), "step %d", i)
+			Expect(wait.Milliseconds()).To(Equal(*step.ReadyMS), "step %d", i)
+			continue
+		}
+		moves := []string{}
+		for _, move := range append(world.Again(now), world.Decide(now)...) {
+			given[string(move.Upstream.ID)] = move
+			moves = append(moves, describe(move))
+		}
+		if step.Number != nil {
+			Expect(moves).To(HaveLen(*step.Number), "step %d: %v", i, moves)
+		} else {
+			Expect(moves).To(ConsistOf(step.Moves), "step %d", i)
+		}
+	}
+}
