--- a/coord/view.go
+++ b/coord/view.go
@@ -46,6 +46,15 @@
 	Failures int
 }
 
+// NewView returns a view of a catalog and upstreams.
+func NewView(catalog *site.Catalog, upstreams []*site.Upstream, members []Member) *View {
+	p := picture{catalog: catalog, upstreams: make(map[cardamom.UpstreamID]*site.Upstream), members: members}
+	for _, upstream := range upstreams {
+		p.upstreams[upstream.ID] = upstream
+	}
+	return p.view()
+}
+
 // Catalog returns the newest catalog, nil before the first is known.
 func (v *View) Catalog() *site.Catalog { return v.catalog }
 
