--- /dev/null
+++ b/fakes/host/site.go
@@ -0,0 +1,270 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// graceMS is how long an instance has to leave, leaseMS the lease's term.
+	graceMS = 3000
+	leaseMS = 900
+	// askTimeout bounds a caller's request.
+	askTimeout = 10 * time.Second
+)
+
+// Instance is one process of the system under test.
+type Instance struct {
+	name     string
+	program  string
+	settings string
+	log      string
+	Entry    string
+	Ready    string
+	lookup   string
+	metrics  string
+	cmd      *exec.Cmd
+	done     chan struct{}
+}
+
+// Site is a deployment of stand-ins and real processes on loopback.
+type Site struct {
+	Store     *Store
+	Engines   []*Engine
+	Instances []*Instance
+	folder    string
+	client    *http.Client
+}
+
+// SiteOptions say what a site starts with.
+type SiteOptions struct {
+	// Program is the path of the program under test, Folder where logs go.
+	Program   string
+	Folder    string
+	Instances int
+	Engines   []EngineSpec
+	Config    []byte
+	// StoreAddress replaces the store's own address, for a proxy before it.
+	StoreAddress string
+}
+
+// NewSite starts the stand-ins and the processes.
+func NewSite(options SiteOptions) (*Site, error) {
+	s := &Site{Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s.Store.Put("op", "config", options.Config)
+	for _, spec := range options.Engines {
+		s.Engines = append(s.Engines, NewEngine(s.Store, spec))
+	}
+	address := options.StoreAddress
+	if address == "" {
+		address = s.Store.Address()
+	}
+	for n := range options.Instances {
+		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), options.Program, address)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.Instances = append(s.Instances, instance)
+		if err := instance.Start(); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// newInstance writes the settings of an instance.
+func (s *Site) newInstance(name, program, store string) (*Instance, error) {
+	ports := make([]string, 5)
+	for i := range ports {
+		// Held until all are chosen, so that no two are the same.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "choose a port")
+		}
+		defer listener.Close()
+		ports[i] = listener.Addr().String()
+	}
+	body, err := json.Marshal(map[string]any{
+		"instance": name, "data_centre": "x", "store": store, "lease_ms": leaseMS, "fences_checked": true, "grace_ms": graceMS,
+		"listen":  map[string]any{"entry": ports[0], "ready": ports[1], "addresses": ports[2], "sync": ports[3], "metrics": ports[4]},
+		"retries": map[string]any{"ratio": 0.2, "window_ms": 10000, "slack": 50},
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(s.folder, name+".jsonc")
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		return nil, eris.Wrap(err, "write settings")
+	}
+	return &Instance{
+		name: name, program: program, settings: path, log: filepath.Join(s.folder, name+".log"),
+		Entry: ports[0], Ready: ports[1], lookup: ports[2], metrics: ports[4],
+	}, nil
+}
+
+// Start starts the process.
+func (i *Instance) Start() error {
+	file, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+	defer file.Close()
+	i.cmd = exec.Command(i.program, "serve", "--settings", i.settings)
+	i.cmd.Stdout, i.cmd.Stderr = file, file
+	i.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := i.cmd.Start(); err != nil {
+		return eris.Wrapf(err, "start %s", i.name)
+	}
+	i.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(i.cmd, i.done)
+	return nil
+}
+
+// Signal sends a signal to this process alone.
+func (i *Instance) Signal(signal syscall.Signal) error {
+	return eris.Wrapf(i.cmd.Process.Signal(signal), "signal %s", i.name)
+}
+
+// Done is closed when the process has ended.
+func (i *Instance) Done() <-chan struct{} { return i.done }
+
+// Name returns the instance's name.
+func (i *Instance) Name() string { return i.name }
+
+// Log returns what the instance has written.
+func (i *Instance) Log() string {
+	body, err := os.ReadFile(i.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// IsReady asks the instance whether it takes requests.
+func (s *Site) IsReady(i *Instance) bool {
+	response, err := s.client.Get("http://" + i.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Metrics returns the text on the instance's metrics address.
+func (s *Site) Metrics(i *Instance) (string, error) {
+	response, err := s.client.Get("http://" + i.metrics + "/metrics")
+	if err != nil {
+		return "", eris.Wrap(err, "get metrics")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), eris.Wrap(err, "read metrics")
+}
+
+// Lookup asks an instance where to connect.
+func (s *Site) Lookup(i *Instance) ([]string, error) {
+	response, err := s.client.Get("http://" + i.lookup + "/lookup?" + url.Values{"name": {"h.example"}, "region": {"r"}, "zone": {"x"}}.Encode())
+	if err != nil {
+		return nil, eris.Wrap(err, "look up")
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttlS"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, eris.Wrap(err, "decode addresses")
+	}
+	return answer.Addresses, nil
+}
+
+// Ask is a caller's request.
+type Ask struct {
+	ID    string
+	Path  string
+	Model string
+	Body  string
+	// Address is where to connect.
+	Address string
+}
+
+// Got is what a caller received.
+type Got struct {
+	Status int
+	Body   string
+	Sealed bool
+	Later  time.Duration
+	// Whole means that the response did not break off.
+	Whole bool
+}
+
+// Send sends a request over a connection of its own.
+func (s *Site) Send(ctx context.Context, ask Ask) (Got, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ask.Address+ask.Path, strings.NewReader(ask.Body))
+	if err != nil {
+		return Got{}, eris.Wrap(err, "make request")
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", ask.ID)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(askTimeout.Milliseconds(), 10))
+	if ask.Model != "" {
+		request.Header.Set("Model", ask.Model)
+		request.Header.Set("Token-Count", "100,20")
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return Got{}, eris.Wrap(err, "send")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	got := Got{Status: response.StatusCode, Body: string(body), Sealed: response.Header.Get("Server-Seal") != "", Whole: err == nil}
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		got.Later = time.Duration(seconds * float64(time.Second))
+	}
+	return got, nil
+}
+
+// Runs returns how often each request ran on all upstreams.
+func (s *Site) Runs() map[string]int {
+	runs := make(map[string]int)
+	for _, engine := range s.Engines {
+		for _, run := range engine.Runs() {
+			runs[run.ID]++
+		}
+	}
+	return runs
+}
+
+// Close ends the processes that the site started, by their ids, and the
+// stand-ins.
+func (s *Site) Close() {
+	for _, instance := range s.Instances {
+		if instance.done != nil {
+			_ = instance.Signal(syscall.SIGKILL)
+			<-instance.done
+		}
+	}
+	for _, engine := range s.Engines {
+		engine.Close()
+	}
+	s.Store.Close()
+}
--- /dev/null
+++ b/proof/front_test.go
@@ -0,0 +1,196 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/fakes/host"
+)
+
+// frontModels are more models than the engines of a front site hold.
+var frontModels = []string{"m1", "m2", "m3", "m4", "m5"}
+
+// startFront starts instances before the stand-ins of the users' platform and
+// waits until all take requests and know each other.
+func startFront(instances int) *host.Site {
+	s, err := host.NewSite(host.SiteOptions{
+		Program: filepath.Join(programs, "cardfront"), Folder: GinkgoT().TempDir(), Instances: instances, Config: host.Config(1, frontModels),
+		Engines: []host.EngineSpec{
+			{ID: "i-1", Service: "models", Centre: "x", Models: []string{"m1", "m2"}, Disk: []string{"m5"}, Slots: 16, LoadTime: 100 * time.Millisecond},
+			{ID: "i-2", Service: "models", Centre: "y", Models: []string{"m3", "m4"}, Slots: 16, LoadTime: 100 * time.Millisecond},
+			{ID: "p-1", Service: "plain", Centre: "x", Slots: 8}, {ID: "p-2", Service: "plain", Centre: "y", Slots: 8},
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	DeferCleanup(func() {
+		if !CurrentSpecReport().Failed() {
+			return
+		}
+		for _, instance := range s.Instances {
+			GinkgoWriter.Printf("== %s\n%s\n", instance.Name(), instance.Log())
+		}
+	})
+	awaitMembers(s, s.Instances)
+	return s
+}
+
+// awaitMembers waits until each instance tells callers of all.
+func awaitMembers(s *host.Site, instances []*host.Instance) {
+	for _, instance := range instances {
+		Eventually(func() bool {
+			addresses, err := s.Lookup(instance)
+			return err == nil && len(addresses) == len(instances) && s.IsReady(instance)
+		}, eventually).Should(BeTrue(), instance.Name())
+	}
+}
+
+// serve sends a request until it is served.
+func serve(s *host.Site, ask host.Ask) host.Got {
+	var got host.Got
+	n := 0
+	Eventually(func() bool {
+		n++
+		attempt := ask
+		attempt.ID = fmt.Sprintf("%s-%d", ask.ID, n)
+		var err error
+		got, err = s.Send(context.Background(), attempt)
+		return err == nil && got.Status == 200 && got.Whole
+	}, eventually).Should(BeTrue(), ask.ID)
+	Expect(got.Sealed).To(BeTrue())
+	return got
+}
+
+var _ = Describe("instances before the users' platform", func() {
+	It("serve a calm day", func() {
+		s := startFront(2)
+		for n := range 40 {
+			entry := s.Instances[n%2].Entry
+			got := serve(s, host.Ask{ID: fmt.Sprintf("once%d", n), Path: "/once/x", Body: "b", Address: entry})
+			Expect(got.Body).To(HavePrefix("whole answer to once"))
+			serve(s, host.Ask{ID: fmt.Sprintf("safe%d", n), Path: "/safe/x", Address: entry})
+			got = serve(s, host.Ask{ID: fmt.Sprintf("stream%d", n), Path: "/stream/x", Model: frontModels[n%len(frontModels)], Address: entry})
+			Expect(strings.Count(got.Body, "\n\n")).To(Equal(4))
+		}
+		for id, count := range s.Runs() {
+			Expect(count).To(Equal(1), id)
+		}
+		text, err := s.Metrics(s.Instances[0])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(ContainSubstring(`requests_total{kind="streaming",outcome="served",reason="answered"}`))
+		Expect(text).To(ContainSubstring(`stage_seconds_bucket{stage="first_event",le="+Inf"}`))
+	})
+
+	It("load a cold model once for a burst at all of them", func() {
+		s := startFront(3)
+		before := s.Engines[0].Loads() + s.Engines[1].Loads()
+		var group sync.WaitGroup
+		for n := range 30 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				defer GinkgoRecover()
+				serve(s, host.Ask{ID: fmt.Sprintf("burst%d", n), Path: "/stream/x", Model: "m5", Address: s.Instances[n%3].Entry})
+			}()
+		}
+		group.Wait()
+		Expect(s.Engines[0].Loads() + s.Engines[1].Loads() - before).To(Equal(1))
+	})
+
+	It("apply a new configuration everywhere", func() {
+		s := startFront(2)
+		s.Store.Put("op", "config", host.Config(7, frontModels, map[string]any{
+			"name": "added", "host": "h.example", "pathPrefix": "/added/", "kind": "idempotent", "service": "plain", "timeoutMs": 5000, "maxAttempts": 1,
+		}))
+		for _, instance := range s.Instances {
+			serve(s, host.Ask{ID: "added" + instance.Name(), Path: "/added/x", Address: instance.Entry})
+		}
+	})
+
+	It("send nothing to an upstream that leaves", func() {
+		s := startFront(2)
+		s.Engines[2].Leave()
+		for _, instance := range s.Instances {
+			Eventually(instance.Log, eventually).Should(ContainSubstring("upstream=p-1 service=plain address=" + s.Engines[2].Address() + " leaving=true"))
+		}
+		before := len(s.Engines[2].Runs())
+		for n := range 10 {
+			serve(s, host.Ask{ID: fmt.Sprintf("after%d", n), Path: "/safe/x", Address: s.Instances[n%2].Entry})
+		}
+		Expect(s.Engines[2].Runs()).To(HaveLen(before))
+	})
+
+	It("finish their requests and are left out when they are stopped", func() {
+		s := startFront(2)
+		leaving, staying := s.Instances[0], s.Instances[1]
+		Expect(leaving.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(func() bool { return s.IsReady(leaving) }, eventually).Should(BeFalse())
+		Eventually(func() bool {
+			addresses, err := s.Lookup(staying)
+			return err == nil && !slices.Contains(addresses, leaving.Entry)
+		}, eventually).Should(BeTrue())
+		serve(s, host.Ask{ID: "stays", Path: "/safe/x", Address: staying.Entry})
+		Eventually(leaving.Done(), eventually).Should(BeClosed())
+		Expect(leaving.Log()).To(ContainSubstring("event=stopped"))
+	})
+
+	It("go on when the one that coordinates is killed", func() {
+		s := startFront(3)
+		var coordinator *host.Instance
+		Eventually(func() bool {
+			for _, instance := range s.Instances {
+				if strings.Contains(instance.Log(), "event=lease_taken") {
+					coordinator = instance
+				}
+			}
+			return coordinator != nil
+		}, eventually).Should(BeTrue())
+		Expect(coordinator.Signal(syscall.SIGKILL)).To(Succeed())
+		rest := slices.DeleteFunc(slices.Clone(s.Instances), func(i *host.Instance) bool { return i == coordinator })
+		awaitMembers(s, rest)
+		serve(s, host.Ask{ID: "cold", Path: "/stream/x", Model: "m5", Address: rest[0].Entry})
+		for id, count := range s.Runs() {
+			Expect(count).To(Equal(1), id)
+		}
+	})
+
+	It("serve what they know while the store is away", func() {
+		s := startFront(2)
+		s.Store.SetFault(host.Reset)
+		for n := range 10 {
+			serve(s, host.Ask{ID: fmt.Sprintf("away%d", n), Path: "/once/x", Body: "b", Address: s.Instances[n%2].Entry})
+			serve(s, host.Ask{ID: fmt.Sprintf("model%d", n), Path: "/stream/x", Model: "m1", Address: s.Instances[n%2].Entry})
+		}
+		s.Store.SetFault(host.Sound)
+		s.Store.Put("op", "config", host.Config(9, frontModels, map[string]any{
+			"name": "added", "host": "h.example", "pathPrefix": "/added/", "kind": "idempotent", "service": "plain", "timeoutMs": 5000, "maxAttempts": 1,
+		}))
+		for _, instance := range s.Instances {
+			serve(s, host.Ask{ID: "back" + instance.Name(), Path: "/added/x", Address: instance.Entry})
+		}
+	})
+
+	It("come back with the configuration after all were killed at once", func() {
+		s := startFront(3)
+		for _, instance := range s.Instances {
+			Expect(instance.Signal(syscall.SIGKILL)).To(Succeed())
+		}
+		for _, instance := range s.Instances {
+			<-instance.Done()
+			Expect(instance.Start()).To(Succeed())
+		}
+		awaitMembers(s, s.Instances)
+		for _, instance := range s.Instances {
+			serve(s, host.Ask{ID: "again" + instance.Name(), Path: "/stream/x", Model: "m5", Address: instance.Entry})
+		}
+	})
+})
--- a/proof/suite_test.go
+++ b/proof/suite_test.go
@@ -34,7 +34,7 @@
 
 var _ = BeforeSuite(func() {
 	programs = GinkgoT().TempDir()
-	for _, name := range []string{"cardd", "cardfake"} {
+	for _, name := range []string{"cardd", "cardfake", "cardfront"} {
 		output, err := exec.Command("go", "build", "-o", filepath.Join(programs, name), "../cmd/"+name).CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(output))
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -35,7 +35,6 @@
 //go:embed testdata/outcomes.json
 var outcomes []byte
 
-
 func TestRelay(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "relay")
