--- a/cmd/cardload/main.go
+++ b/cmd/cardload/main.go
@@ -28,6 +28,6 @@
 	root := &cobra.Command{
 		Use: "cardload", Short: "Drive load, faults and experiments", SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), overheadCommand(), stormCommand(), overloadCommand(), frontierCommand(), spreadCommand(), capacityCommand())
+	root.AddCommand(runCommand(), overheadCommand(), stormCommand(), overloadCommand(), frontierCommand(), spreadCommand(), capacityCommand(), soakCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/cardload/soak.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"cardamomcourse.example/cardamom/fakes/host"
+	"cardamomcourse.example/cardamom/pause"
+)
+
+// The shape of one soak.
+const (
+	// soakStep is the mean time between the beginnings of two faults.
+	soakStep = 350 * time.Millisecond
+	// soakSettle is how long a soak goes on without new faults.
+	soakSettle = 3 * time.Second
+	// soakCallers is how many callers send requests beside each other.
+	soakCallers = 12
+	// soakPause is the mean pause between two requests of a caller.
+	soakPause = 25 * time.Millisecond
+	// soakKeep is how long callers keep an address.
+	soakKeep = 1500 * time.Millisecond
+	// soakInstances is how many instances a soak starts unless told otherwise.
+	soakInstances = 4
+	// soakPlaces is how many models fit on an engine.
+	soakPlaces = 2
+)
+
+// soakModels are more models than the engines have places for.
+var soakModels = []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}
+
+// soakWire is what a series of soaks has shown.
+type soakWire struct {
+	Seeds      int            `json:"seeds"`
+	Requests   int            `json:"requests"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Faults     map[string]int `json:"faults"`
+	Violations []string       `json:"violations"`
+	NotStarted []string       `json:"not_started"`
+}
+
+func soakCommand() *cobra.Command {
+	var program, folder string
+	var seed uint64
+	var seeds, instances int
+	var span time.Duration
+	command := &cobra.Command{
+		Use: "soak", Short: "Run seeded faults against instances before stand-ins of the platform", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if _, err := os.Stat(program); err != nil {
+				return eris.Errorf("no program at %s; build it with: go build -o %s ./cmd/cardfront", program, program)
+			}
+			wire := &soakWire{Outcomes: make(map[string]int), Faults: make(map[string]int)}
+			for n := range seeds {
+				runSoak(command.Context(), wire, program, folder, seed+uint64(n), instances, span)
+			}
+			body, err := json.MarshalIndent(wire, "", "  ")
+			if err != nil {
+				return eris.Wrap(err, "encode result")
+			}
+			if _, err := fmt.Fprintln(command.OutOrStdout(), string(body)); err != nil {
+				return err
+			}
+			if len(wire.Violations) > 0 || len(wire.NotStarted) > 0 {
+				return eris.Errorf("%d violations, %d soaks not started", len(wire.Violations), len(wire.NotStarted))
+			}
+			return nil
+		},
+	}
+	command.Flags().StringVar(&program, "program", "bin/cardfront", "program under test")
+	command.Flags().StringVar(&folder, "folder", "", "folder for logs, kept; a temporary one without it")
+	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the first soak")
+	command.Flags().IntVar(&seeds, "seeds", 1, "how many soaks, one after the other")
+	command.Flags().IntVar(&instances, "instances", soakInstances, "how many instances")
+	command.Flags().DurationVar(&span, "span", 8*time.Second, "how long faults begin")
+	return command
+}
+
+// soak is one seeded series of faults.
+type soak struct {
+	site  *host.Site
+	store *host.Link
+	plan  *rand.Rand
+	wire  *soakWire
+	seed  uint64
+
+	mu       sync.Mutex
+	book     map[string]*entry
+	engines  int
+	version  int
+	undo     sync.WaitGroup
+	stopping map[*host.Instance]bool
+}
+
+// entry is what a caller knows of one request.
+type entry struct {
+	kind   string
+	body   string
+	got    host.Got
+	err    error
+	began  time.Time
+	ended  time.Time
+	answer bool
+}
+
+func runSoak(ctx context.Context, wire *soakWire, program, folder string, seed uint64, instances int, span time.Duration) {
+	wire.Seeds++
+	if folder == "" {
+		made, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			wire.NotStarted = append(wire.NotStarted, err.Error())
+			return
+		}
+		defer os.RemoveAll(made)
+		folder = made
+	}
+	logs := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(logs, 0o750); err != nil {
+		wire.NotStarted = append(wire.NotStarted, err.Error())
+		return
+	}
+	s := &soak{
+		plan: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, book: make(map[string]*entry), version: 1,
+		stopping: make(map[*host.Instance]bool),
+	}
+	if err := s.start(ctx, program, logs, instances); err != nil {
+		wire.NotStarted = append(wire.NotStarted, fmt.Sprintf("seed %d: %v", seed, err))
+		return
+	}
+	defer s.site.Close()
+	defer s.store.Close()
+	callers, stop := context.WithCancel(ctx)
+	defer stop()
+	var group sync.WaitGroup
+	for n := range soakCallers {
+		group.Add(1)
+		random := rand.New(rand.NewPCG(seed, uint64(n)+1000))
+		go func() {
+			defer group.Done()
+			s.call(callers, n, random)
+		}()
+	}
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		s.fault()
+		pause.For(ctx, time.Duration(s.plan.Int64N(int64(2*soakStep))))
+	}
+	s.undo.Wait()
+	pause.For(ctx, soakSettle)
+	stop()
+	group.Wait()
+	s.check()
+}
+
+// start starts the stand-ins, the links before them and the instances.
+func (s *soak) start(ctx context.Context, program, folder string, instances int) error {
+	options := host.SiteOptions{
+		Program: program, Folder: folder, Instances: instances, Config: host.Config(s.version, soakModels),
+		LinkStore: true, Engines: []host.EngineSpec{
+			s.spec("models", "m1", "m2"), s.spec("models", "m3", "m4"), s.spec("models", "m5", "m6"), s.spec("plain"), s.spec("plain"), s.spec("plain"),
+		},
+	}
+	site, err := host.NewSite(options)
+	if err != nil {
+		return err
+	}
+	s.site, s.store = site, site.StoreLink
+	for end := time.Now().Add(20 * time.Second); ; {
+		ready := 0
+		for _, instance := range site.Instances {
+			if addresses, err := site.Lookup(instance); err == nil && len(addresses) == instances && site.IsReady(instance) {
+				ready++
+			}
+		}
+		if ready == instances {
+			return nil
+		}
+		if time.Now().After(end) || !pause.For(ctx, 50*time.Millisecond) {
+			site.Close()
+			s.store.Close()
+			return eris.Errorf("%d of %d instances ready", ready, instances)
+		}
+	}
+}
+
+func (s *soak) spec(service string, models ...string) host.EngineSpec {
+	s.engines++
+	return host.EngineSpec{
+		ID: fmt.Sprintf("%s-%d", service, s.engines), Service: service, Centre: "x", Models: models, Disk: soakModels, Slots: 16,
+		LoadTime: 120 * time.Millisecond, Places: soakPlaces, Linked: true,
+	}
+}
+
+// call sends requests until ctx ends, over connections that are kept while the
+// address is.
+func (s *soak) call(ctx context.Context, caller int, random *rand.Rand) {
+	kinds := []string{"/safe/", "/once/", "/stream/", "/resume/"}
+	session := s.site.NewSession()
+	defer session.Close()
+	address, until := "", time.Time{}
+	for n := 0; pause.For(ctx, time.Duration(random.Int64N(int64(2*soakPause)))); n++ {
+		if address == "" || time.Now().After(until) {
+			addresses, err := s.site.Lookup(s.site.Instances[random.IntN(len(s.site.Instances))])
+			if err != nil || len(addresses) == 0 {
+				continue
+			}
+			address, until = addresses[random.IntN(len(addresses))], time.Now().Add(soakKeep)
+		}
+		kind := kinds[random.IntN(len(kinds))]
+		ask := host.Ask{ID: fmt.Sprintf("s%d-c%d-%d", s.seed, caller, n), Path: kind + "x", Address: address}
+		ask.Body = "body of " + ask.ID
+		if kind == "/stream/" || kind == "/resume/" {
+			ask.Model = soakModels[random.IntN(len(soakModels))]
+		}
+		e := &entry{kind: kind, body: ask.Body, began: time.Now()}
+		s.mu.Lock()
+		s.book[ask.ID] = e
+		s.mu.Unlock()
+		got, err := session.Send(context.WithoutCancel(ctx), ask)
+		s.mu.Lock()
+		e.got, e.err, e.ended, e.answer = got, err, time.Now(), err == nil
+		s.mu.Unlock()
+		if err != nil {
+			address = ""
+		}
+	}
+}
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -51,6 +51,7 @@
 	Target string
 	Body   string
 	Header http.Header
+	At     time.Time
 }
 
 // EngineSpec describes an upstream.
@@ -63,6 +64,10 @@
 	Slots   int
 	// LoadTime is how long a load takes.
 	LoadTime time.Duration
+	// Places is how many models fit; 0 is no bound.
+	Places int
+	// Linked puts a link with faults before the upstream.
+	Linked bool
 }
 
 // Engine is an upstream of the platform. It is safe for concurrent use.
@@ -73,7 +78,6 @@
 	server *httptest.Server
 	next   []Behaviour
 	shared *[]Behaviour
-	left   int
 	runs   []Run
 	held   map[string][]string
 	disk   map[string]bool
@@ -85,6 +89,10 @@
 	state  string
 	loads  int
 	hung   chan struct{}
+	link   *Link
+	over   int
+	left   int
+	leftAt time.Time
 }
 
 // NewEngine starts an upstream and registers it unless store is nil.
@@ -111,16 +119,51 @@
 			e.serve(w, r)
 		}
 	}))
+	if spec.Linked {
+		link, err := NewLink(strings.TrimPrefix(e.server.URL, "http://"))
+		if err != nil {
+			panic(err)
+		}
+		e.link = link
+	}
 	e.Register()
 	return e
 }
 
-// Address returns the upstream's host:port.
-func (e *Engine) Address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+// Address returns the host:port at which the upstream is reached.
+func (e *Engine) Address() string {
+	if e.link != nil {
+		return e.link.Address()
+	}
+	return strings.TrimPrefix(e.server.URL, "http://")
+}
+
+// ID returns the upstream's name.
+func (e *Engine) ID() string { return e.spec.ID }
+
+// Link returns the link before the upstream, nil if there is none.
+func (e *Engine) Link() *Link { return e.link }
+
+// Over returns how many loads were ordered for which there was no room.
+func (e *Engine) Over() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.over
+}
+
+// LeftAt returns when the upstream said that it leaves, zero if it has not.
+func (e *Engine) LeftAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leftAt
+}
 
 // Close ends the upstream as a crash does.
 func (e *Engine) Close() {
 	close(e.hung)
+	if e.link != nil {
+		e.link.Close()
+	}
 	e.server.CloseClientConnections()
 	e.server.Close()
 }
@@ -184,6 +227,7 @@
 func (e *Engine) Leave() {
 	e.mu.Lock()
 	e.state = "draining"
+	e.leftAt = time.Now()
 	e.mu.Unlock()
 	e.Register()
 }
@@ -265,6 +309,9 @@
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
+	if _, ok := e.held[body.Model]; !ok && e.spec.Places > 0 && len(e.held) >= e.spec.Places {
+		e.over++
+	}
 	e.busy = true
 	e.loads++
 	time.AfterFunc(e.spec.LoadTime, func() {
@@ -290,7 +337,7 @@
 		behaviour = Misdirected
 	}
 	if behaviour != Full && behaviour != Misdirected && behaviour != Unfounded {
-		e.runs = append(e.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
+		e.runs = append(e.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	}
 	e.mu.Unlock()
 	e.treat(behaviour, w, r)
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -23,10 +23,11 @@
 	// graceMS is how long an instance has to leave, leaseMS the lease's term.
 	graceMS = 3000
 	leaseMS = 900
-	// askTimeout bounds a caller's request.
-	askTimeout = 10 * time.Second
 )
 
+// AskTimeout bounds a caller's request.
+const AskTimeout = 10 * time.Second
+
 // Instance is one process of the system under test.
 type Instance struct {
 	name     string
@@ -44,6 +45,7 @@
 // Site is a deployment of stand-ins and real processes on loopback.
 type Site struct {
 	Store     *Store
+	StoreLink *Link
 	Engines   []*Engine
 	Instances []*Instance
 	folder    string
@@ -58,20 +60,25 @@
 	Instances int
 	Engines   []EngineSpec
 	Config    []byte
-	// StoreAddress replaces the store's own address, for a proxy before it.
-	StoreAddress string
+	// LinkStore puts a link with faults before the store.
+	LinkStore bool
 }
 
 // NewSite starts the stand-ins and the processes.
 func NewSite(options SiteOptions) (*Site, error) {
-	s := &Site{Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &Site{Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: AskTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	s.Store.Put("op", "config", options.Config)
 	for _, spec := range options.Engines {
 		s.Engines = append(s.Engines, NewEngine(s.Store, spec))
 	}
-	address := options.StoreAddress
-	if address == "" {
-		address = s.Store.Address()
+	address := s.Store.Address()
+	if options.LinkStore {
+		link, err := NewLink(address)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.StoreLink, address = link, link.Address()
 	}
 	for n := range options.Instances {
 		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), options.Program, address)
@@ -217,20 +224,40 @@
 	Whole bool
 }
 
+// Session is a caller that keeps its connections.
+type Session struct {
+	client *http.Client
+}
+
+// NewSession returns a caller without connections.
+func (s *Site) NewSession() *Session {
+	return &Session{client: &http.Client{Timeout: AskTimeout, Transport: &http.Transport{}}}
+}
+
+// Close closes the caller's connections.
+func (s *Session) Close() { s.client.CloseIdleConnections() }
+
+// Send sends a request over a kept connection if there is one.
+func (s *Session) Send(ctx context.Context, ask Ask) (Got, error) { return send(ctx, s.client, ask) }
+
 // Send sends a request over a connection of its own.
-func (s *Site) Send(ctx context.Context, ask Ask) (Got, error) {
+func (s *Site) Send(ctx context.Context, ask Ask) (Got, error) { return send(ctx, s.client, ask) }
+
+func send(ctx context.Context, client *http.Client, ask Ask) (Got, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ask.Address+ask.Path, strings.NewReader(ask.Body))
 	if err != nil {
 		return Got{}, eris.Wrap(err, "make request")
 	}
 	request.Host = "h.example"
 	request.Header.Set("Request-Id", ask.ID)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(askTimeout.Milliseconds(), 10))
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(AskTimeout.Milliseconds(), 10))
 	if ask.Model != "" {
 		request.Header.Set("Model", ask.Model)
 		request.Header.Set("Token-Count", "100,20")
 	}
-	response, err := s.client.Do(request)
+	// A request that broke is not sent again by the client itself.
+	request.GetBody = nil
+	response, err := client.Do(request)
 	if err != nil {
 		return Got{}, eris.Wrap(err, "send")
 	}
