--- a/conns/conns.go
+++ b/conns/conns.go
@@ -19,6 +19,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -131,7 +132,7 @@
 			writes <- writeErr
 		}()
 	}
-	inner, err := readHeader(c.reader, request.Method)
+	inner, err := readHeader(c.reader, request.Method) //nolint:bodyclose // Response.Close ends the connection below the body.
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -263,7 +264,7 @@
 // Read reads the body. io.EOF means that it is whole.
 func (r *Response) Read(data []byte) (int, error) {
 	n, err := r.inner.Body.Read(data)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		r.whole = true
 	} else if err != nil {
 		err = eris.Wrap(ErrBroken, err.Error())
--- a/front/front.go
+++ b/front/front.go
@@ -128,7 +128,9 @@
 	for _, s := range i.servers {
 		_ = s.server.Close()
 	}
-	<-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		i.logger.Error("supervisor_failed", "reason", err)
+	}
 	i.logger.Info("stopped", "instance", i.settings.instance)
 	return nil
 }
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -55,15 +55,16 @@
 		if result == site.OrderAccepted || m.Order.Adapter != "" {
 			e.orders = max(e.orders, m.Order.Expect+1)
 		}
-		if m.Order.Adapter != "" {
+		switch {
+		case m.Order.Adapter != "":
 			w.setAdapter(e, m.Order, now)
 			e.pending = nil
-		} else if result == site.OrderHolds {
+		case result == site.OrderHolds:
 			e.pending = nil
 			e.unsure = true
-		} else if p.order.Kind == site.Load {
+		case p.order.Kind == site.Load:
 			p.ready = now.Add(w.loadTime(e, m.Order.Model))
-		} else {
+		default:
 			p.ready = now.Add(askEvery)
 		}
 		w.touch(e)
@@ -161,7 +162,10 @@
 		if e.State != cardamom.Live {
 			continue
 		}
-		if _, ok := e.usable().Held[model]; ok {
+		switch view := e.usable(); {
+		case view.Holds(model, adapter):
+			consider(e.ready[string(model)+"/"+adapter].Sub(now))
+		case view.Holds(model, ""):
 			consider(adapterTime)
 		}
 		if p := e.pending; p != nil && p.order.Kind == site.Load && p.order.Model == model && p.order.Adapter == "" {
--- a/proof/front_test.go
+++ b/proof/front_test.go
@@ -27,7 +27,8 @@
 		Engines: []host.EngineSpec{
 			{ID: "i-1", Service: "models", Centre: "x", Models: []string{"m1", "m2"}, Disk: []string{"m5"}, Slots: 16, LoadTime: 100 * time.Millisecond},
 			{ID: "i-2", Service: "models", Centre: "y", Models: []string{"m3", "m4"}, Slots: 16, LoadTime: 100 * time.Millisecond},
-			{ID: "p-1", Service: "plain", Centre: "x", Slots: 8}, {ID: "p-2", Service: "plain", Centre: "y", Slots: 8},
+			{ID: "p-1", Service: "plain", Centre: "x", Slots: 8},
+			{ID: "p-2", Service: "plain", Centre: "y", Slots: 8},
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -97,16 +97,16 @@
 			})
 		}
 	}
-	route := func(prefix string, kind site.Kind, service string, attempts int, resumable bool) site.Route {
+	route := func(prefix string, kind site.Kind, service string, resumable bool) site.Route {
 		return site.Route{
 			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Shares: []site.Share{{Service: cardamom.ServiceID(service), Weight: 1}},
-			Timeout: 20 * time.Second, Target: 500 * time.Millisecond, Attempts: attempts, Resumable: resumable,
+			Timeout: 20 * time.Second, Target: 500 * time.Millisecond, Attempts: 2, Resumable: resumable,
 		}
 	}
 	models := &site.Engine{Models: map[cardamom.ModelID]site.Model{"m": {Name: "m"}, "cold": {Name: "cold"}}}
 	catalog := site.NewCatalog(3, []site.Route{
-		route("/safe/", site.Idempotent, "plain", 2, false), route("/once/", site.NonIdempotent, "plain", 2, false),
-		route("/stream/", site.Streaming, "models", 2, false), route("/resume/", site.Streaming, "models", 2, true),
+		route("/safe/", site.Idempotent, "plain", false), route("/once/", site.NonIdempotent, "plain", false),
+		route("/stream/", site.Streaming, "models", false), route("/resume/", site.Streaming, "models", true),
 	}, []site.Service{{Name: "plain"}, {Name: "models", Engine: models}}, site.Limits{BodyBytes: 1000})
 	closing, closeNow := context.WithCancel(context.Background())
 	w.closing = closeNow
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -126,7 +127,7 @@
 			flusher.Flush()
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if !x.pass(response, partial) {
 				x.end("gone", "caller_left", response.Status())
 				return false
