--- a/relay/find.go
+++ b/relay/find.go
@@ -22,6 +22,9 @@
 	// recheck is the time after which waiting requests look again at what other
 	// instances have in progress.
 	recheck = 25 * time.Millisecond
+	// againPause is the time before a request is sent to an upstream that
+	// failed it, as it may just be going down.
+	againPause = 60 * time.Millisecond
 	// plainQueue is how many requests beyond its slots a plain upstream gets.
 	plainQueue = 2
 	// answerMargin is kept of a caller's patience for the first event itself.
@@ -86,10 +89,11 @@
 	view := s.Views.View()
 	now := time.Now()
 	_, needsModel := x.engine()
-	var candidates []pick.Candidate
+	// again are those that were tried; they are better than none.
+	var candidates, again []pick.Candidate
 	listed, slow := 0, 0
 	for _, upstream := range view.Upstreams(x.service) {
-		if upstream.State != cardamom.Live || x.tried[upstream.ID] {
+		if upstream.State != cardamom.Live {
 			continue
 		}
 		listed++
@@ -110,12 +114,21 @@
 		if limit > 0 && !needsModel {
 			limit += plainQueue
 		}
-		candidates = append(candidates, pick.Candidate{
+		candidate := pick.Candidate{
 			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: limit,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
 			Suspended: s.Health.Suspended(upstream.ID, now), Near: upstream.Place == s.DataCentre,
 			Expected: expected,
-		})
+		}
+		if x.tried[upstream.ID] {
+			again = append(again, candidate)
+		} else {
+			candidates = append(candidates, candidate)
+		}
+	}
+	if len(candidates) == 0 && len(again) > 0 {
+		x.sleep(againPause)
+		candidates = again
 	}
 	if id, ok := pick.Best(candidates, x.ask.Shared); ok {
 		upstream, _ := view.Upstream(id)
@@ -142,9 +155,9 @@
 	switch {
 	case full > 0:
 		x.awaitPlace(began)
-	case needsModel && x.runs == 0:
+	case needsModel && (x.runs == 0 || x.route.Repeatable()):
 		x.awaitModel()
-	case listed == 0 && len(x.tried) == 0 && time.Since(x.arrived) < soonWait:
+	case listed == 0 && time.Since(x.arrived) < soonWait:
 		x.sleep(recheck)
 	default:
 		x.stopWaiting()
@@ -202,6 +215,10 @@
 		}
 	}
 	left := time.Until(x.arrived.Add(x.patience()))
+	if x.started {
+		// Callers of a stream wait for the next event as long as for the first.
+		left = min(x.route.Patience()-answerMargin, time.Until(x.deadline()))
+	}
 	if left <= 0 {
 		x.stopWaiting()
 		x.giveUp("model_late")
@@ -222,6 +239,10 @@
 		return
 	}
 	x.stopWaiting()
+	if x.runs > 0 {
+		x.giveUp("model_late")
+		return
+	}
 	reason := "model_late"
 	if !verdict.Expected {
 		reason = "model_unknown"
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -46,7 +46,9 @@
 	Path string `json:"path"`
 	// First and Second are the behaviours of the upstreams in order of use.
 	Behaviours []host.Behaviour `json:"behaviours"`
-	Status     int              `json:"status"`
+	// Only means that there is one upstream instead of two.
+	Only   bool `json:"only"`
+	Status int  `json:"status"`
 	// Body is the whole body, Cut that the response breaks off.
 	Body string `json:"body"`
 	Cut  bool   `json:"cut"`
@@ -82,10 +84,10 @@
 	closing context.CancelFunc
 }
 
-func newWorld(prospect coord.Prospect) *world {
+func newWorld(prospect coord.Prospect, names ...string) *world {
 	w := &world{}
 	var upstreams []*site.Upstream
-	for _, id := range []string{"i-1", "i-2"} {
+	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
 			name := id + "-" + service
 			engine := host.NewEngine(nil, host.EngineSpec{ID: name, Service: service, Models: []string{"m"}})
@@ -159,7 +161,11 @@
 	}
 	for _, c := range cases {
 		It(c.Name, func() {
-			w := newWorld(coord.Prospect{})
+			names := []string{"i-2"}
+			if c.Only {
+				names = nil
+			}
+			w := newWorld(coord.Prospect{}, names...)
 			w.script(c.Behaviours)
 			model := ""
 			if strings.HasPrefix(c.Path, "/stream/") || strings.HasPrefix(c.Path, "/resume/") {
