--- a/coord/follow.go
+++ b/coord/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -21,8 +22,10 @@
 	staleAfter = 1100 * time.Millisecond
 	// standbyPause is the time between two looks whether that is so.
 	standbyPause = 100 * time.Millisecond
-	// retryPause is the time after a failed call to the platform.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the time after a failed call to the platform; it doubles
+	// with each further one up to longestRetry.
+	retryPause   = 250 * time.Millisecond
+	longestRetry = 1500 * time.Millisecond
 	// ownPause is the time between two own calls of an instance that does not
 	// coordinate.
 	ownPause = 600 * time.Millisecond
@@ -61,7 +64,7 @@
 // followCatalog reads the configuration while this instance coordinates or has
 // no fresh word from the one that does.
 func (l *Loop) followCatalog(ctx context.Context) {
-	lost := false
+	source := &sourceState{}
 	for ctx.Err() == nil {
 		duty := l.duty(ctx, func(now time.Time) time.Duration { return now.Sub(l.picture.confirmed) })
 		if !duty.coordinates && !duty.stale && !duty.behind {
@@ -75,10 +78,10 @@
 		}
 		began := steady.Now()
 		document, catalog, err := l.options.Catalogs.Next(ctx, wait)
-		l.noteSource(&lost, "configuration", err)
+		l.noteSource(source, "configuration", err)
 		if err != nil {
 			l.post(func(time.Time) { l.needDocument = l.behind })
-			pause.For(ctx, retryPause)
+			pause.For(ctx, source.backoff())
 			continue
 		}
 		l.post(func(time.Time) {
@@ -100,7 +103,7 @@
 
 // followUpstreams reads the registrations under the same condition.
 func (l *Loop) followUpstreams(ctx context.Context) {
-	lost := false
+	source := &sourceState{}
 	for ctx.Err() == nil {
 		duty := l.duty(ctx, func(now time.Time) time.Duration { return now.Sub(l.picture.learned) })
 		if !duty.coordinates && !duty.stale {
@@ -110,9 +113,9 @@
 		}
 		began := steady.Now()
 		listing, err := l.options.Upstreams.Next(ctx, 0)
-		l.noteSource(&lost, "registrations", err)
+		l.noteSource(source, "registrations", err)
 		if err != nil {
-			pause.For(ctx, retryPause)
+			pause.For(ctx, source.backoff())
 			continue
 		}
 		l.post(func(now time.Time) { l.takeListing(listing, began, now) })
@@ -124,15 +127,29 @@
 	}
 }
 
-// noteSource logs when the platform is lost and when it is back.
-func (l *Loop) noteSource(lost *bool, what string, err error) {
+// sourceState is how the last calls to a source went.
+type sourceState struct {
+	failures int
+}
+
+// backoff returns the pause after a failed call, in random parts so that the
+// instances do not call together.
+func (s *sourceState) backoff() time.Duration {
+	longest := min(retryPause<<min(s.failures-1, 8), longestRetry)
+	return longest/2 + rand.N(longest/2)
+}
+
+// noteSource counts failures and logs when the platform is lost and back.
+func (l *Loop) noteSource(source *sourceState, what string, err error) {
 	switch {
-	case err != nil && !*lost && l.ctx.Err() == nil:
-		l.logger.Warn("dependency_lost", "dependency", "platform", "what", what, "reason", err)
-		*lost = true
-	case err == nil && *lost:
-		l.logger.Info("dependency_back", "dependency", "platform", "what", what)
-		*lost = false
+	case err != nil:
+		if source.failures == 0 && l.ctx.Err() == nil {
+			l.logger.Warn("dependency_lost", "dependency", "platform", "what", what, "reason", err)
+		}
+		source.failures++
+	case source.failures > 0:
+		l.logger.Info("dependency_back", "dependency", "platform", "what", what, "failures", source.failures)
+		source.failures = 0
 	}
 }
 
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -88,7 +88,7 @@
 func (l *Loop) leasePause() time.Duration {
 	members := l.picture.members
 	if len(members) <= standbys || l.options.Reluctance == 0 && l.standby(members) {
-		return leaseRead
+		return min(leaseRead<<min(l.leaseFailures, 4), longestRetry)
 	}
 	return leaseLook
 }
@@ -121,10 +121,13 @@
 		row, err := l.options.Table.Get(l.ctx, leaseKey)
 		l.post(func(now time.Time) {
 			l.leasing = false
-			if err == nil {
-				l.leaseSeen = now
-				l.observe(decodeLease(row), now)
+			if err != nil {
+				l.leaseFailures++
+				return
 			}
+			l.leaseFailures = 0
+			l.leaseSeen = now
+			l.observe(decodeLease(row), now)
 		})
 	}()
 }
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -77,6 +77,8 @@
 	leaseAt time.Time
 	// leaseSeen is when the row was last read.
 	leaseSeen time.Time
+	// leaseFailures counts the reads since the last that was answered.
+	leaseFailures int
 	// began is when the instance started or last lost its coordinator.
 	began    time.Time
 	tenure   *tenure
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -369,7 +369,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Noise, Extra, Unframed:
-		e.raw(behaviour, w, id)
+		e.raw(behaviour, w, r)
 		return
 	case Stray:
 		id = "another"
@@ -387,6 +387,19 @@
 	_, _ = io.WriteString(w, "whole answer to "+id)
 }
 
+// events returns the events after the one that the caller has.
+func events(resume string) string {
+	after := 0
+	if _, err := fmt.Sscan(resume, &after); err != nil {
+		after = 0
+	}
+	var all strings.Builder
+	for n := after + 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&all, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return all.String()
+}
+
 // stream sends the events after the one that the caller has.
 func (e *Engine) stream(behaviour Behaviour, w http.ResponseWriter, resume string) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -406,13 +419,17 @@
 }
 
 // raw writes bytes that net/http would not.
-func (e *Engine) raw(behaviour Behaviour, w http.ResponseWriter, id string) {
+func (e *Engine) raw(behaviour Behaviour, w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
 	connection, buffered, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer connection.Close()
 	body := "whole answer to " + id
+	if r.Header.Get("Model") != "" {
+		body = events(r.Header.Get("Last-Event-Id"))
+	}
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: seal." + e.spec.ID + "\r\n"
 	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	switch behaviour {
