--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/fakes/fleet"
 )
 
 const (
@@ -99,13 +100,12 @@
 func (s *Site) newInstance(name, program, store string) (*Instance, error) {
 	ports := make([]string, 5)
 	for i := range ports {
-		// Held until all are chosen, so that no two are the same.
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		// Below the ports of outgoing connections, which could take it meanwhile.
+		address, err := fleet.FreePort()
 		if err != nil {
-			return nil, eris.Wrap(err, "choose a port")
+			return nil, err
 		}
-		defer listener.Close()
-		ports[i] = listener.Addr().String()
+		ports[i] = address
 	}
 	body, err := json.Marshal(map[string]any{
 		"instance": name, "data_centre": "x", "store": store, "lease_ms": leaseMS, "fences_checked": true, "grace_ms": graceMS,
