--- /dev/null
+++ b/cmd/cardctl/explain.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"cardamomcourse.example/cardamom/story"
+)
+
+// lineWire is a line of a story as JSON.
+type lineWire struct {
+	Time   string            `json:"time"`
+	Source string            `json:"source"`
+	Event  string            `json:"event"`
+	Pairs  map[string]string `json:"pairs"`
+}
+
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain REQUEST [LOG...]", Short: "Tell what happened to a request, from logs or standard input", Args: cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			lines, err := readLogs(command.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			told := story.Of(args[0], lines)
+			if !told.Found() {
+				return eris.Errorf("no line of %d names the request %s: it was served in time (only one in 16 of those is logged), or it reached another instance", len(lines), args[0])
+			}
+			asJSON, err := command.Flags().GetBool("json")
+			if err != nil {
+				return err
+			}
+			if !asJSON {
+				return told.Print(command.OutOrStdout())
+			}
+			encoder := json.NewEncoder(command.OutOrStdout())
+			encoder.SetIndent("", "  ")
+			return encoder.Encode(map[string]any{"request": args[0], "lines": wireLines(told.Lines()), "around": wireLines(told.Near())})
+		},
+	}
+}
+
+// readLogs reads files, or standard input if there are none.
+func readLogs(in io.Reader, files []string) ([]story.Line, error) {
+	if len(files) == 0 {
+		lines, _, err := story.Read("-", in)
+		return lines, err
+	}
+	var all []story.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, eris.Wrap(err, "open log")
+		}
+		lines, skipped, err := story.Read(strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)), file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		if len(lines) == 0 {
+			return nil, eris.Errorf("%s has no log line in %d lines", name, skipped)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func wireLines(lines []story.Line) []lineWire {
+	wire := make([]lineWire, 0, len(lines))
+	for _, line := range lines {
+		pairs := make(map[string]string, len(line.Pairs()))
+		for _, pair := range line.Pairs() {
+			pairs[pair.Key] = pair.Value
+		}
+		wire = append(wire, lineWire{Time: line.Time().UTC().Format("2006-01-02T15:04:05.000Z"), Source: line.Source(), Event: line.Event(), Pairs: pairs})
+	}
+	return wire
+}
--- a/cmd/cardctl/main.go
+++ b/cmd/cardctl/main.go
@@ -59,6 +59,6 @@
 		Use: "cardctl", Short: "Check and publish profiles, look at instances", SilenceUsage: true, SilenceErrors: true,
 	}
 	root.PersistentFlags().Bool("json", false, "print JSON")
-	root.AddCommand(settingsCommand(), profileCommand(), statusCommand())
+	root.AddCommand(settingsCommand(), profileCommand(), statusCommand(), explainCommand())
 	return root
 }
