--- a/plan/decide.go
+++ b/plan/decide.go
@@ -35,6 +35,13 @@
 	// youngTime is how long a loaded model is kept for the requests that it
 	// was loaded for.
 	youngTime = 1200 * time.Millisecond
+	// drainTime is how many seconds a copy with requests in progress takes to
+	// be dropped.
+	drainTime = 1.5
+	// recentUse is how long after its last request a model is rather kept, and
+	// recentLoss what dropping it costs then in seconds.
+	recentUse  = 1500 * time.Millisecond
+	recentLoss = 0.5
 	// ceilingShare is the part of the store's rate that is used, in percent.
 	ceilingShare = 90
 	// roomTime is how long an engine keeps the purpose for which it drops a
@@ -418,9 +425,9 @@
 	if now.Sub(e.loaded[model]) < youngTime && u.waiting > 0 {
 		return 0, false
 	}
-	extra := w.copies(model) - w.wanted(model, now)
-	if extra > 0 {
-		return 0.05 + 0.02*float64(u.running), true
+	drain := w.drain(model, u, now)
+	if w.copies(model) > w.wanted(model, now) {
+		return 0.05 + drain, true
 	}
 	if u.waiting > 0 || w.copies(model) > 1 {
 		return 0, false
@@ -435,7 +442,17 @@
 	// A dropped model comes back from this engine's disk, and its requests
 	// wait for that and for the drop that makes room for it.
 	again := w.spec.Models[model].FromDisk.Seconds() + 0.3
-	return 0.3 + 4*rate*again + 0.2*float64(u.running), true
+	return 0.3 + 4*rate*again + drain, true
+}
+
+// drain returns how long a drop is expected to wait, in seconds: for the
+// requests that a copy has in progress, and for those that come again soon.
+func (w *World) drain(model cardamom.ModelID, u *use, now time.Time) float64 {
+	wait := drainTime * math.Min(float64(u.running)/float64(max(w.copies(model), 1)), 1)
+	if now.Sub(u.last) < recentUse {
+		wait += recentLoss
+	}
+	return wait
 }
 
 // heldMB returns the memory that an engine's models and adapters take.
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -141,6 +141,8 @@
 		switch step.Do {
 		case "arrive":
 			world.Arrived(cardamom.ModelID(step.Model), step.Count, step.Tokens, now)
+		case "running":
+			world.Running(cardamom.ModelID(step.Model), 0, step.Count)
 		case "want":
 			world.Want(cardamom.ModelID(step.Model), step.Adapter, now.Add(time.Second))
 		case "report":
