--- a/cmd/cardfront/main.go
+++ b/cmd/cardfront/main.go
@@ -62,9 +62,10 @@
 			out := logs.NewBounded(os.Stdout)
 			defer out.Flush(flushTime)
 			logger := logs.New(out, "cardfront", settings.LogLevel())
-			ctx, stop := untilSignal(command.Context(), path, logger)
+			instance := front.Build(settings, logger)
+			ctx, stop := untilSignal(command.Context(), path, instance, logger)
 			defer stop()
-			return front.Build(settings, logger).Run(ctx)
+			return instance.Run(ctx)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "cardfront.jsonc", "settings file")
@@ -73,7 +74,7 @@
 
 // untilSignal returns a context that the first signal to end ends. A signal
 // that the settings changed has them checked and the changes logged.
-func untilSignal(parent context.Context, path string, logger hclog.Logger) (context.Context, context.CancelFunc) {
+func untilSignal(parent context.Context, path string, instance *front.Instance, logger hclog.Logger) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
@@ -88,8 +89,8 @@
 				logger.Error("settings_rejected", "path", path, "reason", err)
 				continue
 			}
-			logger.SetLevel(hclog.LevelFromString(settings.LogLevel()))
-			logger.Info("settings_reloaded", "path", path, "log_level", settings.LogLevel())
+			instance.Reload(settings)
+			logger.Info("settings_reloaded", "path", path, "profiles", len(settings.Profiles().Named))
 		}
 	}()
 	return ctx, cancel
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -60,6 +60,7 @@
 	Upstreams UpstreamSource
 	Engines   Engines
 	Decode    func(document []byte) (*site.Catalog, error)
+	Profiles  Profiles
 	Demand    *demand.Counter
 	Ledger    *poison.Ledger
 	Logger    hclog.Logger
@@ -183,7 +184,9 @@
 	}
 	if l.changed {
 		l.changed = false
-		l.board.current.Store(l.picture.view())
+		view := l.picture.view()
+		view.coordinates = l.tenure != nil
+		l.board.current.Store(view)
 		for waiter := range l.wake {
 			select {
 			case waiter <- struct{}{}:
--- /dev/null
+++ b/coord/profiles.go
@@ -0,0 +1,42 @@
+package coord
+
+import (
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/plan"
+)
+
+// Profiles are the operators' profiles and which service follows which.
+type Profiles struct {
+	// Named has the profiles by name, Services the name of each service's
+	// profile. Services that are not named follow Rest.
+	Named    map[string]plan.Profile
+	Services map[cardamom.ServiceID]string
+	Rest     string
+}
+
+// For returns the profile of a service.
+func (p Profiles) For(service cardamom.ServiceID) plan.Profile {
+	name, ok := p.Services[service]
+	if !ok {
+		name = p.Rest
+	}
+	if profile, ok := p.Named[name]; ok {
+		return profile
+	}
+	return plan.DefaultProfile
+}
+
+// SetProfiles replaces the profiles.
+func (l *Loop) SetProfiles(profiles Profiles) {
+	l.post(func(time.Time) {
+		l.options.Profiles = profiles
+		if l.tenure == nil {
+			return
+		}
+		for name, w := range l.tenure.worlds {
+			w.SetProfile(profiles.For(name))
+		}
+	})
+}
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -144,7 +144,7 @@
 	if !ok || service.Engine == nil {
 		return nil
 	}
-	w := &world{World: plan.New(service.Engine, t.fresh, now)}
+	w := &world{World: plan.New(service.Engine, t.loop.options.Profiles.For(name), t.fresh, now)}
 	t.worlds[name] = w
 	return w
 }
--- a/coord/view.go
+++ b/coord/view.go
@@ -38,6 +38,8 @@
 	others    map[cardamom.UpstreamID]Others
 	members   []Member
 	learned   time.Time
+	// coordinates tells whether this instance coordinated when the view was made.
+	coordinates bool
 }
 
 // Others is what the other instances have seen of an upstream.
@@ -76,6 +78,9 @@
 // Learned returns when the upstreams were last confirmed by the platform.
 func (v *View) Learned() time.Time { return v.learned }
 
+// Coordinates tells whether this instance coordinates.
+func (v *View) Coordinates() bool { return v.coordinates }
+
 // board holds the current view.
 type board struct {
 	current atomic.Pointer[View]
--- a/front/front.go
+++ b/front/front.go
@@ -27,6 +27,7 @@
 	"cardamomcourse.example/cardamom/pause"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/relay"
+	"cardamomcourse.example/cardamom/steady"
 	"cardamomcourse.example/cardamom/syncpb"
 	"cardamomcourse.example/cardamom/tally"
 )
@@ -102,11 +103,34 @@
 	return i
 }
 
+// Reload takes new settings as far as they can change while the instance runs:
+// its profiles. Everything else needs a restart.
+func (i *Instance) Reload(settings *Settings) { i.loop.SetProfiles(settings.profiles) }
+
+// gauges publishes what the instance believes now.
+func (i *Instance) gauges() {
+	i.tally.Gauge("catalog_version", func() float64 {
+		if catalog := i.loop.View().Catalog(); catalog != nil {
+			return float64(catalog.Version())
+		}
+		return 0
+	})
+	i.tally.Gauge("upstreams_age_seconds", func() float64 { return steady.Now().Sub(i.loop.View().Learned()).Seconds() })
+	i.tally.Gauge("members", func() float64 { return float64(len(i.loop.View().Members())) })
+	i.tally.Gauge("coordinates", func() float64 {
+		if i.loop.View().Coordinates() {
+			return 1
+		}
+		return 0
+	})
+}
+
 // Run serves until ctx ends, then leaves within the grace time.
 func (i *Instance) Run(ctx context.Context) error {
 	if err := i.listen(); err != nil {
 		return err
 	}
+	i.gauges()
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	tree := suture.New("instance", suture.Spec{FailureDecay: restartDecay, EventHook: i.note})
--- a/front/provide.go
+++ b/front/provide.go
@@ -33,7 +33,7 @@
 		ID: settings.instance, Entry: settings.listen.Entry, Sync: settings.listen.Sync, Seeds: settings.seeds,
 		Term: settings.lease, Fenced: settings.fenced, Reluctance: settings.Reluctance(), Clock: store.Clock, Table: platform.NewTable(store, ownTable),
 		Catalogs: platform.NewCatalogs(store, logger), Upstreams: platform.NewUpstreams(store, logger), Engines: platform.NewEngines(),
-		Decode: platform.DecodeCatalog, Demand: counter, Ledger: ledger, Logger: logger.Named("coord"),
+		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Logger: logger.Named("coord"),
 	}
 }
 
--- a/front/settings.go
+++ b/front/settings.go
@@ -10,6 +10,8 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/conf"
+	"cardamomcourse.example/cardamom/coord"
+	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/retry"
 )
 
@@ -51,6 +53,7 @@
 	grace      time.Duration
 	ttl        time.Duration
 	retries    retry.Limits
+	profiles   coord.Profiles
 }
 
 // Listen has the addresses on which an instance serves.
@@ -83,6 +86,9 @@
 	return 0
 }
 
+// Profiles returns the operators' profiles.
+func (s *Settings) Profiles() coord.Profiles { return s.profiles }
+
 // Memory returns how many bytes the process may use.
 func (s *Settings) Memory() int64 { return s.memory }
 
@@ -111,6 +117,55 @@
 		WindowMS float64 `json:"window_ms"`
 		Slack    float64 `json:"slack"`
 	} `json:"retries"`
+	Profiles map[string]profileWire `json:"profiles"`
+	// Services has the profile of each service; "*" is for all others.
+	Services map[string]string `json:"services"`
+}
+
+// profileWire is a profile; what is left out is as in plan.DefaultProfile.
+type profileWire struct {
+	CopyTokens     *float64 `json:"copy_tokens_per_s"`
+	CopyRunning    *float64 `json:"copy_running"`
+	SecondCopyRate *float64 `json:"second_copy_per_s"`
+	ScarceCopyRate *float64 `json:"scarce_second_copy_per_s"`
+	MostCopies     *int     `json:"most_copies"`
+}
+
+func (p profileWire) profile() plan.Profile {
+	profile := plan.DefaultProfile
+	for _, field := range []struct {
+		to   *float64
+		from *float64
+	}{
+		{&profile.CopyTokens, p.CopyTokens}, {&profile.CopyRunning, p.CopyRunning},
+		{&profile.SecondCopyRate, p.SecondCopyRate}, {&profile.ScarceCopyRate, p.ScarceCopyRate},
+	} {
+		if field.from != nil {
+			*field.to = *field.from
+		}
+	}
+	if p.MostCopies != nil {
+		profile.MostCopies = *p.MostCopies
+	}
+	return profile
+}
+
+// otherServices names all services that have no profile of their own.
+const otherServices = "*"
+
+// decodeProfiles returns the profiles and records services that name none.
+func decodeProfiles(wire settingsWire, source *conf.Source) coord.Profiles {
+	profiles := coord.Profiles{Named: make(map[string]plan.Profile), Services: make(map[cardamom.ServiceID]string), Rest: wire.Services[otherServices]}
+	for name, profile := range wire.Profiles {
+		profiles.Named[name] = profile.profile()
+	}
+	for service, name := range wire.Services {
+		if _, ok := wire.Profiles[name]; !ok {
+			source.Faultf([]string{"services", service}, "there is no profile %q", name)
+		}
+		profiles.Services[cardamom.ServiceID(service)] = name
+	}
+	return profiles
 }
 
 // Load reads and checks a settings file.
@@ -143,10 +198,12 @@
 	if _, _, err := net.SplitHostPort(wire.Store); err != nil {
 		source.Faultf([]string{"store"}, "must be host:port, got %q", wire.Store)
 	}
+	profiles := decodeProfiles(wire, source)
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
 	return &Settings{
+		profiles: profiles,
 		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.Place(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
 		listen: Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
 		memory: int64(wire.MemoryMB * (1 << 20)), processor: wire.Processor, link: wire.LinkMbps, level: wire.LogLevel,
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -10,24 +10,12 @@
 )
 
 const (
-	// perCopy is how many requests in progress one copy of a model carries
-	// before another is wanted; an engine batches several times as many, but
-	// prompts of others delay first events.
-	perCopy = 14
-	// perCopyTokens is how many prompt tokens a second one copy reads before
-	// another is wanted: about half of what an engine reads when it does
-	// nothing else and keeps no shared parts.
-	perCopyTokens = 24000
 	// firstLook is how long demand is watched before copies are judged by it,
 	// firstCopies how many a model keeps until then.
 	firstLook   = 2 * time.Second
 	firstCopies = 3
 	// crowding is the waiting in seconds that a fully busy engine costs.
 	crowding = 1.5
-	// busyRate is the arrivals a second from which a model has a second copy
-	// against the loss of an engine; scarceRate where places are scarce.
-	busyRate   = 1.5
-	scarceRate = 4.0
 	// scarceSwaps is the part of the engines that are busy with swaps from
 	// which places count as scarce, swapTime what one swap takes in seconds.
 	scarceSwaps = 0.08
@@ -47,8 +35,6 @@
 	// roomTime is how long an engine keeps the purpose for which it drops a
 	// model: the drop waits for the model's requests.
 	roomTime = 8 * time.Second
-	// maxWantedCopies bounds the copies of a model.
-	maxWantedCopies = 6
 )
 
 // origin is where an engine loads a model from.
@@ -180,9 +166,9 @@
 	if u.decayed(now)/span >= w.secondRate(now) {
 		count = 2
 	}
-	count = max(count, int(math.Ceil(w.tokenRate(model, now)/perCopyTokens)))
-	count = max(count, int(math.Ceil(float64(u.running+u.waiting)/perCopy)))
-	return min(count, maxWantedCopies)
+	count = max(count, int(math.Ceil(w.tokenRate(model, now)/w.profile.CopyTokens)))
+	count = max(count, int(math.Ceil(float64(u.running+u.waiting)/w.profile.CopyRunning)))
+	return min(count, w.profile.MostCopies)
 }
 
 // secondRate returns the arrivals a second from which a second copy is worth
@@ -191,9 +177,9 @@
 func (w *World) secondRate(now time.Time) float64 {
 	busy := w.swaps.decayed(now) / w.span(now, memoryOf) * swapTime / float64(max(len(w.engines), 1))
 	if busy > scarceSwaps {
-		return scarceRate
+		return w.profile.ScarceCopyRate
 	}
-	return busyRate
+	return w.profile.SecondCopyRate
 }
 
 // Decide returns the orders to give now: for what requests wait for first, then
@@ -359,7 +345,7 @@
 	for held := range e.Held {
 		total += w.tokenRate(held, now) / float64(max(w.copies(held), 1))
 	}
-	return total / perCopyTokens
+	return total / w.profile.CopyTokens
 }
 
 // tokenRate returns the prompt tokens a second that a model is asked for.
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -129,7 +129,7 @@
 
 func play(s script) {
 	start := time.Unix(1000, 0)
-	world := plan.New(spec(s), true, start)
+	world := plan.New(spec(s), plan.DefaultProfile, true, start)
 	for id, f := range s.Engines {
 		world.Update(upstream(id, f, 1), start)
 		world.Report(cardamom.UpstreamID(id), site.Report{Held: held(f.Held), OnDisk: set(append(f.Disk, f.Held...))}, start)
--- a/plan/world.go
+++ b/plan/world.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	world := plan.New(engine)
+//	world := plan.New(engine, plan.DefaultProfile, true, now)
 //	world.Update(upstream, now)
 //	world.Arrived("muse-01", 1, 1460, now)
 //	for _, move := range world.Decide(now) {
@@ -110,6 +110,7 @@
 // World is the engines of one service and the demand for their models.
 type World struct {
 	spec    *site.Engine
+	profile Profile
 	engines map[cardamom.UpstreamID]*engine
 	uses    map[cardamom.ModelID]*use
 	wants   map[want]time.Time
@@ -139,9 +140,9 @@
 
 // New returns a world without engines. Loads from the store that others may
 // have started are counted for a window from now on unless fresh.
-func New(spec *site.Engine, fresh bool, now time.Time) *World {
+func New(spec *site.Engine, profile Profile, fresh bool, now time.Time) *World {
 	w := &World{
-		spec: spec, engines: make(map[cardamom.UpstreamID]*engine), uses: make(map[cardamom.ModelID]*use),
+		spec: spec, profile: profile, engines: make(map[cardamom.UpstreamID]*engine), uses: make(map[cardamom.ModelID]*use),
 		wants: make(map[want]time.Time), atOnce: firstAtOnce,
 	}
 	if !fresh {
@@ -150,6 +151,9 @@
 	return w
 }
 
+// SetProfile replaces how models are kept and spread.
+func (w *World) SetProfile(profile Profile) { w.profile = profile }
+
 // SetSpec replaces the service's description.
 func (w *World) SetSpec(spec *site.Engine) { w.spec = spec }
 
