--- a/conf/source.go
+++ b/conf/source.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"github.com/tailscale/hujson"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
@@ -67,6 +69,7 @@
 		return nil, source.Err()
 	}
 	source.tree = tree
+	source.checkDuplicates(nil, &source.tree)
 	plain := tree.Clone()
 	plain.Standardize()
 	if err := source.checkSchema(plain.Pack(), schema); err != nil {
@@ -125,8 +128,42 @@
 	return nil
 }
 
+// checkDuplicates records the keys that stand twice in an object. The line is
+// that of the later one.
+func (s *Source) checkDuplicates(path []string, value *hujson.Value) {
+	switch node := value.Value.(type) {
+	case *hujson.Object:
+		seen := make(map[string]bool, len(node.Members))
+		for i := range node.Members {
+			member := &node.Members[i]
+			name, ok := member.Name.Value.(hujson.Literal)
+			if !ok {
+				continue
+			}
+			key := name.String()
+			below := append(append([]string(nil), path...), key)
+			if seen[key] {
+				line := 1 + bytes.Count(s.body[:min(member.Name.StartOffset, len(s.body))], []byte("\n"))
+				s.faults = append(s.faults, Fault{key: strings.Join(below, "."), line: line, text: "stands twice"})
+			}
+			seen[key] = true
+			s.checkDuplicates(below, &member.Value)
+		}
+	case *hujson.Array:
+		for i := range node.Elements {
+			s.checkDuplicates(append(append([]string(nil), path...), strconv.Itoa(i)), &node.Elements[i])
+		}
+	}
+}
+
 // addInvalid records the leaves of a schema error tree.
 func (s *Source) addInvalid(invalid *jsonschema.ValidationError) {
+	if unknown, ok := invalid.ErrorKind.(*kind.AdditionalProperties); ok {
+		for _, name := range unknown.Properties {
+			s.Faultf(append(append([]string(nil), invalid.InstanceLocation...), name), "is not known here")
+		}
+		return
+	}
 	if len(invalid.Causes) == 0 {
 		text := invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 		s.Faultf(invalid.InstanceLocation, "%s", text)
--- /dev/null
+++ b/front/settings_test.go
@@ -0,0 +1,56 @@
+package front_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/front"
+	"cardamomcourse.example/cardamom/plan"
+)
+
+var update = flag.Bool("update", false, "record the golden files anew")
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+var _ = Describe("settings", func() {
+	files, err := filepath.Glob("testdata/*.jsonc")
+	if err != nil {
+		panic(err)
+	}
+	for _, file := range files {
+		It("names what is wrong in "+filepath.Base(file), func() {
+			body, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			text := "ok\n"
+			if _, err := front.Parse(filepath.Base(file), body); err != nil {
+				text = err.Error() + "\n"
+			}
+			golden := strings.TrimSuffix(file, ".jsonc") + ".golden"
+			if *update {
+				Expect(os.WriteFile(golden, []byte(text), 0o600)).To(Succeed())
+			}
+			expected, err := os.ReadFile(golden)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(Equal(string(expected)))
+		})
+	}
+
+	It("gives each service its profile", func() {
+		body, err := os.ReadFile("testdata/good.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		settings, err := front.Parse("good.jsonc", body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Profiles().For("letters").MostCopies).To(Equal(2))
+		Expect(settings.Profiles().For("others").CopyTokens).To(Equal(9000.0))
+		Expect(settings.Profiles().For("others").MostCopies).To(Equal(plan.DefaultProfile.MostCopies))
+	})
+})
