Say data centre where the code said place; name unknown keys themselves

Mechanical, behaviour as before; the product's interface and settings keep their words. One expectation of cardctl's names the key instead of its object now.

--- a/cells/world_test.go
+++ b/cells/world_test.go
@@ -108,7 +108,7 @@
 	w := &world{document: document, fencing: fencing, now: time.Unix(1000, 0), version: 1, witness: hold.NewWitness()}
 	for n := range engines {
 		w.engines = append(w.engines, &simEngine{
-			listed:  cardamom.Upstream{ID: cardamom.UpstreamID(fmt.Sprintf("u%d", n)), Service: "s", Place: "x", Address: "a", State: cardamom.Live},
+			listed:  cardamom.Upstream{ID: cardamom.UpstreamID(fmt.Sprintf("u%d", n)), Service: "s", DataCentre: "x", Address: "a", State: cardamom.Live},
 			fencing: fencing, boot: 1, loaded: map[cardamom.ModelID]engine.Loaded{}, seen: map[string]bool{},
 		})
 	}
--- a/cmd/cardctl/command_test.go
+++ b/cmd/cardctl/command_test.go
@@ -105,7 +105,7 @@
 		Expect(os.WriteFile(file, []byte(`{"profiles": {"p": {"replikas": 1}}}`), 0o600)).To(Succeed())
 		out, code := run("profile", "check", file)
 		Expect(code).To(Equal(exitCheck))
-		Expect(out).To(ContainSubstring(":1: profiles.p: additional properties 'replikas' not allowed"))
+		Expect(out).To(ContainSubstring(":1: profiles.p.replikas: is not known here"))
 	})
 
 	It("shows the difference to the newest revision", func() {
--- a/cmd/cardctl/status.go
+++ b/cmd/cardctl/status.go
@@ -12,16 +12,16 @@
 
 // statusWire is what is shown of an instance's status.
 type statusWire struct {
-	Instance string `json:"instance"`
-	Place    string `json:"place"`
-	Ready    bool   `json:"ready"`
-	Unready  string `json:"unready,omitempty"`
-	Leaving  bool   `json:"leaving"`
-	Revision uint64 `json:"revision"`
-	Members  []struct {
-		ID       string `json:"id"`
-		Place    string `json:"place"`
-		Revision uint64 `json:"revision"`
+	Instance   string `json:"instance"`
+	DataCentre string `json:"place"`
+	Ready      bool   `json:"ready"`
+	Unready    string `json:"unready,omitempty"`
+	Leaving    bool   `json:"leaving"`
+	Revision   uint64 `json:"revision"`
+	Members    []struct {
+		ID         string `json:"id"`
+		DataCentre string `json:"place"`
+		Revision   uint64 `json:"revision"`
 	} `json:"members"`
 	Claims []struct {
 		Resource string `json:"resource"`
@@ -59,9 +59,9 @@
 
 func (s statusWire) text() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s in %s: ready=%t leaving=%t revision=%d %s\n", s.Instance, s.Place, s.Ready, s.Leaving, s.Revision, s.Unready)
+	fmt.Fprintf(&text, "%s in %s: ready=%t leaving=%t revision=%d %s\n", s.Instance, s.DataCentre, s.Ready, s.Leaving, s.Revision, s.Unready)
 	for _, m := range s.Members {
-		fmt.Fprintf(&text, "member  %-24s %-16s revision %d\n", m.ID, m.Place, m.Revision)
+		fmt.Fprintf(&text, "member  %-24s %-16s revision %d\n", m.ID, m.DataCentre, m.Revision)
 	}
 	for _, c := range s.Claims {
 		fmt.Fprintf(&text, "%-31s held by %s, witness %s\n", c.Resource, c.Holder, c.Witness)
--- a/cmd/cardd/dev.go
+++ b/cmd/cardd/dev.go
@@ -32,8 +32,8 @@
 const (
 	// devLimit bounds the whole demonstration.
 	devLimit = 60 * time.Second
-	// devPlace is the place everything runs in.
-	devPlace = "dev"
+	// devCentre is the data centre everything runs in.
+	devCentre = "dev"
 	// devTokens is the length of each answer.
 	devTokens = 12
 	// devPause is the pause between two tries while the instances start.
@@ -90,7 +90,7 @@
 	}
 	defer wait()
 	fmt.Fprintln(out, "two instances, two runners, one platform, all in this process")
-	return showRequests(ctx, out, caller.New(addresses, devPlace), platform)
+	return showRequests(ctx, out, caller.New(addresses, devCentre), platform)
 }
 
 func startDevRunners(platform *fakes.Platform) (func(), error) {
@@ -102,7 +102,7 @@
 	}
 	for n := range 2 {
 		runner, err := fakes.StartRunner(fakes.RunnerOptions{
-			ID: fmt.Sprintf("runner-%d", n+1), Service: "dev-models", Place: devPlace, Address: "127.0.0.1:0",
+			ID: fmt.Sprintf("runner-%d", n+1), Service: "dev-models", DataCentre: devCentre, Address: "127.0.0.1:0",
 			Weights: platform.WeightsAddress(), MemoryMB: 40000, Slots: 8, Fencing: true, CacheMB: 100000,
 			DiskMBPerSec: 50000, MemoryMBPerSec: 200000, Prefill: 40 * time.Millisecond, Interval: 15 * time.Millisecond,
 		})
@@ -144,7 +144,7 @@
 		ends = append(ends, end)
 		addresses = append(addresses, settings.Instance().CallerAddress)
 		platform.List.Add(roster.MachineWire{
-			ID: string(settings.Instance().ID), Place: devPlace,
+			ID: string(settings.Instance().ID), DataCentre: devCentre,
 			Address: settings.Instance().CallerAddress, Peer: settings.Instance().PeerAddress,
 		}, true, time.Now())
 	}
@@ -164,7 +164,7 @@
 		"instance": "entry-%d", "place": %q, "caller_address": %q, "peer_address": %q,
 		"platform": {"table": %q, "list": %q, "poll_ms": 200},
 		"requests": {"drain_ms": 1000}, "tls": {"off": true}, "peers": {"exchange_ms": 300, "suspect_ms": 900}
-	}`, n+1, devPlace, callers, peers, platform.TableAddress(), platform.ListAddress())
+	}`, n+1, devCentre, callers, peers, platform.TableAddress(), platform.ListAddress())
 	return conf.Parse("dev", []byte(text))
 }
 
--- a/cmd/cardload/page.go
+++ b/cmd/cardload/page.go
@@ -27,9 +27,9 @@
 	exchangeSeconds = 1
 	// callBytes is what a Twirp call costs beside its messages.
 	callBytes = 700
-	// followersPerCell and cellsPerNode follow from 410 nodes in 6 places.
-	followersPerCell = nodes / placesCount
-	cellsPerNode     = cellsCount / placesCount
+	// followersPerCell and cellsPerNode follow from 410 nodes in 6 data centres.
+	followersPerCell = nodes / centresCount
+	cellsPerNode     = cellsCount / centresCount
 	// changesPerReplica is how often followers hear of one wake and fall.
 	changesPerReplica = 4
 	// maxWatchSeconds is the longest hold of a watch.
--- a/cmd/cardload/run.go
+++ b/cmd/cardload/run.go
@@ -110,8 +110,8 @@
 	for _, instance := range e.scenario.deployment.Instances() {
 		seeds = append(seeds, e.fleet.Caller(instance.ID))
 	}
-	for _, place := range e.scenario.deployment.Places() {
-		e.callers = append(e.callers, caller.New(seeds, place))
+	for _, centre := range e.scenario.deployment.DataCentres() {
+		e.callers = append(e.callers, caller.New(seeds, centre))
 	}
 }
 
--- a/cmd/cardload/slopes.go
+++ b/cmd/cardload/slopes.go
@@ -32,7 +32,7 @@
 
 const (
 	digestBudget = 2048
-	placesCount  = 6
+	centresCount = 6
 	cellsCount   = 60
 	// loadedPerRunner is how many models each engine of the measurement has.
 	loadedPerRunner = 8
@@ -43,8 +43,8 @@
 
 func memberInstance(n int) cardamom.Instance {
 	return cardamom.Instance{
-		ID: cardamom.InstanceID(fmt.Sprintf("entry-place-%d-%d", n%placesCount, n)), State: cardamom.Live,
-		Place:         cardamom.Place(fmt.Sprintf("place-%d", n%placesCount)),
+		ID: cardamom.InstanceID(fmt.Sprintf("entry-place-%d-%d", n%centresCount, n)), State: cardamom.Live,
+		DataCentre:    cardamom.DataCentre(fmt.Sprintf("place-%d", n%centresCount)),
 		CallerAddress: fmt.Sprintf("10.1.%d.%d:7400", n/250, n%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:7401", n/250, n%250),
 	}
 }
@@ -55,7 +55,7 @@
 		s.Learn(peers.NewMember(memberInstance(n), cardamom.Incarnation(n), 1, 7), start())
 	}
 	for n := range cellsCount {
-		resource := hold.Resource(fmt.Sprintf("cell/llm/place-%d/%d", n%placesCount, n/placesCount))
+		resource := hold.Resource(fmt.Sprintf("cell/llm/place-%d/%d", n%centresCount, n/centresCount))
 		s.LearnHold(hold.NewRow(resource, memberParty(n%members), memberParty((n+1)%members), uint64(n+1), 0))
 	}
 	return s
@@ -128,10 +128,10 @@
 func bigDocument(models int) []byte {
 	var text strings.Builder
 	text.WriteString(`{"profiles": {"p": {"replicas": 2, "places": 2, "keep": "gaps", "keep_ms": 120000}}, "services": {"llm": {"kind": "models", "places": [`)
-	for n := range placesCount {
+	for n := range centresCount {
 		fmt.Fprintf(&text, `%s"place-%d"`, comma(n), n)
 	}
-	fmt.Fprintf(&text, `], "cells_per_place": %d, "fencing": true, "runner_memory_mb": 640000, "load_streams": 60}}, "models": {`, cellsCount/placesCount)
+	fmt.Fprintf(&text, `], "cells_per_place": %d, "fencing": true, "runner_memory_mb": 640000, "load_streams": 60}}, "models": {`, cellsCount/centresCount)
 	bases := max(models*2/7, 1)
 	for n := range models {
 		if n < bases {
@@ -196,7 +196,7 @@
 		}
 	}
 	for n := range upstreams {
-		listed = append(listed, cardamom.Upstream{ID: runnerID(n), Service: "llm", Place: "place-3", Address: "a", State: cardamom.Live})
+		listed = append(listed, cardamom.Upstream{ID: runnerID(n), Service: "llm", DataCentre: "place-3", Address: "a", State: cardamom.Live})
 		report := &engine.Report{Incarnation: 1, Memory: 640000, Slots: 32, Cached: map[cardamom.ModelID]cardamom.Tier{}}
 		for i := range min(loadedPerRunner, len(mine)) {
 			report.Loaded = append(report.Loaded, engine.Loaded{
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -137,7 +137,7 @@
 
 type settingsWire struct {
 	Instance      string `json:"instance"`
-	Place         string `json:"place"`
+	DataCentre    string `json:"place"`
 	CallerAddress string `json:"caller_address"`
 	PeerAddress   string `json:"peer_address"`
 	Platform      struct {
@@ -244,7 +244,7 @@
 	}
 	return &Settings{
 		instance: cardamom.Instance{
-			ID: cardamom.InstanceID(w.Instance), Place: cardamom.Place(w.Place),
+			ID: cardamom.InstanceID(w.Instance), DataCentre: cardamom.DataCentre(w.DataCentre),
 			CallerAddress: w.CallerAddress, PeerAddress: w.PeerAddress, State: cardamom.Live,
 		},
 		table:         w.Platform.Table,
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -10,7 +10,7 @@
 
 func encodeUpstream(upstream *site.Upstream) *syncpb.Upstream {
 	wire := &syncpb.Upstream{
-		Id: string(upstream.ID), Service: string(upstream.Service), Address: upstream.Address, DataCentre: string(upstream.Place),
+		Id: string(upstream.ID), Service: string(upstream.Service), Address: upstream.Address, DataCentre: string(upstream.DataCentre),
 		Leaving: upstream.State == cardamom.Leaving, Slots: int32(upstream.Slots), Born: upstream.Born,
 	}
 	for model, adapters := range upstream.Held {
@@ -27,7 +27,7 @@
 	upstream := &site.Upstream{
 		Upstream: cardamom.Upstream{
 			ID: cardamom.UpstreamID(wire.GetId()), Service: cardamom.ServiceID(wire.GetService()),
-			Place: cardamom.Place(wire.GetDataCentre()), Address: wire.GetAddress(), State: state,
+			DataCentre: cardamom.DataCentre(wire.GetDataCentre()), Address: wire.GetAddress(), State: state,
 		},
 		Born: wire.GetBorn(), Slots: int(wire.GetSlots()), Held: make(map[cardamom.ModelID][]string, len(wire.GetHeld())),
 	}
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -55,7 +55,7 @@
 }
 
 func (l *Loop) followsCell(cell cardamom.CellID, active []peers.Member) bool {
-	if route.PlaceOf(cell) == l.options.Settings.Instance().Place {
+	if route.DataCentreOf(cell) == l.options.Settings.Instance().DataCentre {
 		return true
 	}
 	if _, held := l.cells[cellResource(cell)]; held {
--- a/entry/info.go
+++ b/entry/info.go
@@ -19,9 +19,9 @@
 }
 
 type addressWire struct {
-	Instance string `json:"instance"`
-	Address  string `json:"address"`
-	Place    string `json:"place"`
+	Instance   string `json:"instance"`
+	Address    string `json:"address"`
+	DataCentre string `json:"place"`
 }
 
 // addresses answers which instances to connect to, in an order drawn anew for
@@ -36,7 +36,7 @@
 	if name == "" {
 		name = r.QueryParameter("service")
 	}
-	members, ok := view.Addresses(name, cardamom.Place(r.QueryParameter("place")))
+	members, ok := view.Addresses(name, cardamom.DataCentre(r.QueryParameter("place")))
 	if !ok {
 		refuse(w.ResponseWriter, cardamom.Refuse(cardamom.ReasonUnknownModel, "no model or plain service "+name))
 		return
@@ -45,7 +45,7 @@
 	for _, member := range members {
 		instance := member.Instance()
 		wire.Addresses = append(wire.Addresses, addressWire{
-			Instance: string(instance.ID), Address: instance.CallerAddress, Place: string(instance.Place),
+			Instance: string(instance.ID), Address: instance.CallerAddress, DataCentre: string(instance.DataCentre),
 		})
 	}
 	rand.Shuffle(len(wire.Addresses), func(i, j int) {
@@ -99,22 +99,22 @@
 
 // statusWire is the JSON form of what operators see of an instance.
 type statusWire struct {
-	Instance string       `json:"instance"`
-	Place    string       `json:"place"`
-	Ready    bool         `json:"ready"`
-	Unready  string       `json:"unready,omitempty"`
-	Leaving  bool         `json:"leaving"`
-	Revision uint64       `json:"revision"`
-	Members  []memberWire `json:"members"`
-	Claims   []holdWire   `json:"claims"`
-	Holds    []holdWire   `json:"holds"`
-	Cells    []cellWire   `json:"cells"`
+	Instance   string       `json:"instance"`
+	DataCentre string       `json:"place"`
+	Ready      bool         `json:"ready"`
+	Unready    string       `json:"unready,omitempty"`
+	Leaving    bool         `json:"leaving"`
+	Revision   uint64       `json:"revision"`
+	Members    []memberWire `json:"members"`
+	Claims     []holdWire   `json:"claims"`
+	Holds      []holdWire   `json:"holds"`
+	Cells      []cellWire   `json:"cells"`
 }
 
 type memberWire struct {
-	ID       string `json:"id"`
-	Place    string `json:"place"`
-	Revision uint64 `json:"revision"`
+	ID         string `json:"id"`
+	DataCentre string `json:"place"`
+	Revision   uint64 `json:"revision"`
 }
 
 type holdWire struct {
@@ -144,7 +144,7 @@
 func (s *Server) status(_ *restful.Request, w *restful.Response) {
 	view := s.options.Views.Load()
 	wire := statusWire{
-		Instance: string(view.Self.ID), Place: string(view.Self.Place), Ready: view.Unready == "",
+		Instance: string(view.Self.ID), DataCentre: string(view.Self.DataCentre), Ready: view.Unready == "",
 		Unready: view.Unready, Leaving: view.Leaving,
 	}
 	if view.Published != nil {
@@ -152,7 +152,7 @@
 	}
 	for _, member := range view.Active {
 		wire.Members = append(wire.Members, memberWire{
-			ID: string(member.Instance().ID), Place: string(member.Instance().Place), Revision: uint64(member.Revision()),
+			ID: string(member.Instance().ID), DataCentre: string(member.Instance().DataCentre), Revision: uint64(member.Revision()),
 		})
 	}
 	wire.Claims = holdWires(view.Claims)
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -70,7 +70,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	tracer, err := trace.New(trace.Options{})
 	Expect(err).NotTo(HaveOccurred())
-	self := cardamom.Instance{ID: "i", Place: "x"}
+	self := cardamom.Instance{ID: "i", DataCentre: "x"}
 	h := &harness{views: route.NewHolder(self), desk: admit.New(admit.Deadline(), 1<<20, func(cardamom.CellID) {}), ledger: poison.New()}
 	h.views.Store(&route.View{
 		Self: self, Published: policy.NewPublished(1, document, nil, "", ""),
--- a/fakes/caller/caller.go
+++ b/fakes/caller/caller.go
@@ -81,20 +81,20 @@
 // there. It is safe for concurrent use.
 type Caller struct {
 	seeds  []string
-	place  string
+	centre string
 	client *http.Client
 
 	mu   sync.Mutex
 	kept map[string]kept
 }
 
-// New returns a caller in a place that knows the seeds.
-func New(seeds []string, place string) *Caller {
+// New returns a caller in a data centre that knows the seeds.
+func New(seeds []string, centre string) *Caller {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 512, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: 300 * time.Millisecond}).DialContext,
 	}
-	return &Caller{seeds: seeds, place: place, client: &http.Client{Transport: transport}, kept: make(map[string]kept)}
+	return &Caller{seeds: seeds, centre: centre, client: &http.Client{Transport: transport}, kept: make(map[string]kept)}
 }
 
 // Forget drops the kept addresses of a model or service.
@@ -145,7 +145,7 @@
 	limited, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
 	var wire addressesWire
-	query := url.Values{"model": {name}, "place": {c.place}}
+	query := url.Values{"model": {name}, "place": {c.centre}}
 	request, err := http.NewRequestWithContext(limited, http.MethodGet, "http://"+seed+"/v1/addresses?"+query.Encode(), nil)
 	if err != nil {
 		return wire, eris.Wrap(err, "build question")
--- a/fakes/fleet/deployment.go
+++ b/fakes/fleet/deployment.go
@@ -47,10 +47,10 @@
 }
 
 type deploymentWire struct {
-	Profiles  string         `json:"profiles"`
-	Places    map[string]int `json:"places"`
-	Platform  platformWire   `json:"platform"`
-	Upstreams []upstreamWire `json:"upstreams"`
+	Profiles    string         `json:"profiles"`
+	DataCentres map[string]int `json:"places"`
+	Platform    platformWire   `json:"platform"`
+	Upstreams   []upstreamWire `json:"upstreams"`
 }
 
 type platformWire struct {
@@ -65,7 +65,7 @@
 type upstreamWire struct {
 	Service        string         `json:"service"`
 	Kind           string         `json:"kind"`
-	Places         map[string]int `json:"places"`
+	DataCentres    map[string]int `json:"places"`
 	MemoryMB       int            `json:"memory_mb,omitempty"`
 	Slots          int            `json:"slots,omitempty"`
 	Fencing        bool           `json:"fencing,omitempty"`
@@ -105,40 +105,40 @@
 // Profiles returns the source text of the profile document.
 func (d *Deployment) Profiles() []byte { return d.profiles }
 
-// Instances returns the names of the instances with their places, in order.
+// Instances returns the names of the instances with their data centres, in order.
 func (d *Deployment) Instances() []Placed {
-	return placed("entry", d.wire.Places)
+	return placed("entry", d.wire.DataCentres)
 }
 
-// SetInstances replaces how many instances each place has.
-func (d *Deployment) SetInstances(perPlace map[string]int) { d.wire.Places = perPlace }
+// SetInstances replaces how many instances each data centre has.
+func (d *Deployment) SetInstances(perPlace map[string]int) { d.wire.DataCentres = perPlace }
 
-// Places returns the deployment's places in order.
-func (d *Deployment) Places() []string {
-	places := make([]string, 0, len(d.wire.Places))
-	for place := range d.wire.Places {
-		places = append(places, place)
+// DataCentres returns the deployment's data centres in order.
+func (d *Deployment) DataCentres() []string {
+	centres := make([]string, 0, len(d.wire.DataCentres))
+	for centre := range d.wire.DataCentres {
+		centres = append(centres, centre)
 	}
-	sort.Strings(places)
-	return places
+	sort.Strings(centres)
+	return centres
 }
 
-// Placed is a process with its place.
+// Placed is a process with its data centre.
 type Placed struct {
-	ID    string
-	Place string
+	ID         string
+	DataCentre string
 }
 
-func placed(prefix string, places map[string]int) []Placed {
-	names := make([]string, 0, len(places))
-	for place := range places {
-		names = append(names, place)
+func placed(prefix string, centres map[string]int) []Placed {
+	names := make([]string, 0, len(centres))
+	for centre := range centres {
+		names = append(names, centre)
 	}
 	sort.Strings(names)
 	var list []Placed
-	for _, place := range names {
-		for n := range places[place] {
-			list = append(list, Placed{ID: prefix + "-" + place + "-" + strconv.Itoa(n+1), Place: place})
+	for _, centre := range names {
+		for n := range centres[centre] {
+			list = append(list, Placed{ID: prefix + "-" + centre + "-" + strconv.Itoa(n+1), DataCentre: centre})
 		}
 	}
 	return list
@@ -162,9 +162,9 @@
 		if u.Kind != "runner" {
 			continue
 		}
-		for _, p := range placed(u.Service, u.Places) {
+		for _, p := range placed(u.Service, u.DataCentres) {
 			list = append(list, fakes.RunnerOptions{
-				ID: p.ID, Service: u.Service, Place: p.Place, Address: "127.0.0.1:0", Weights: weights,
+				ID: p.ID, Service: u.Service, DataCentre: p.DataCentre, Address: "127.0.0.1:0", Weights: weights,
 				MemoryMB: u.MemoryMB, Slots: max(u.Slots, 1), Fencing: u.Fencing, CacheMB: u.CacheMB,
 				DiskMBPerSec: or(u.DiskMBPerSec, defaultDiskSpeed), MemoryMBPerSec: or(u.MemoryMBPerSec, defaultMemSpeed),
 				Prefill: millis(u.PrefillMS), Interval: millis(u.IntervalMS), ReportLag: millis(float64(u.ReportLagMS)), Resumable: u.Resumable,
@@ -181,9 +181,9 @@
 		if u.Kind != "plain" {
 			continue
 		}
-		for _, p := range placed(u.Service, u.Places) {
+		for _, p := range placed(u.Service, u.DataCentres) {
 			list = append(list, fakes.PlainOptions{
-				ID: p.ID, Service: u.Service, Place: p.Place, Address: "127.0.0.1:0", Weights: weights, Work: millis(u.WorkMS),
+				ID: p.ID, Service: u.Service, DataCentre: p.DataCentre, Address: "127.0.0.1:0", Weights: weights, Work: millis(u.WorkMS),
 			})
 		}
 	}
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -64,7 +64,7 @@
 	processes map[string]*Process
 	callers   map[string]string
 	peers     map[string]string
-	places    map[string]string
+	centres   map[string]string
 }
 
 // Start starts all processes, publishes the profiles and waits until every
@@ -72,7 +72,7 @@
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f := &Fleet{
 		options: options, fronts: make(map[string]string), ports: make(map[string]bool), processes: make(map[string]*Process),
-		callers: make(map[string]string), peers: make(map[string]string), places: make(map[string]string),
+		callers: make(map[string]string), peers: make(map[string]string), centres: make(map[string]string),
 		client: &http.Client{Timeout: 10 * time.Second},
 	}
 	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.publish, f.startInstances, f.awaitReady}
@@ -224,10 +224,10 @@
 		return err
 	}
 	f.mu.Lock()
-	f.callers[instance.ID], f.peers[instance.ID], f.places[instance.ID] = caller, peer, instance.Place
+	f.callers[instance.ID], f.peers[instance.ID], f.centres[instance.ID] = caller, peer, instance.DataCentre
 	f.mu.Unlock()
 	settings := map[string]any{
-		"instance": instance.ID, "place": instance.Place, "caller_address": caller, "peer_address": peer,
+		"instance": instance.ID, "place": instance.DataCentre, "caller_address": caller, "peer_address": peer,
 		"platform": map[string]any{"table": f.front("table", f.platform.Table), "list": f.front("list", f.platform.List)},
 		"trace":    map[string]any{"share": 0}, "tls": map[string]any{"off": true}, "log_level": or(f.options.LogLevel, "info"),
 	}
@@ -245,7 +245,7 @@
 }
 
 func (f *Fleet) list(instance Placed) error {
-	machine := roster.MachineWire{ID: instance.ID, Place: instance.Place, Address: f.callers[instance.ID], Peer: f.peers[instance.ID]}
+	machine := roster.MachineWire{ID: instance.ID, DataCentre: instance.DataCentre, Address: f.callers[instance.ID], Peer: f.peers[instance.ID]}
 	return f.call(http.MethodPut, f.platform.List, "/instances", machine, nil)
 }
 
@@ -351,12 +351,12 @@
 		return eris.Errorf("no process %s", id)
 	}
 	p.kill()
-	place, instance := f.places[id]
+	centre, instance := f.centres[id]
 	if instance {
 		if err := f.launch(id, "cardd", p.args, nil); err != nil {
 			return err
 		}
-		return f.list(Placed{ID: id, Place: place})
+		return f.list(Placed{ID: id, DataCentre: centre})
 	}
 	var hello addressHello
 	return f.launch(id, "cardfake", p.args, &hello)
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -12,11 +12,11 @@
 
 // PlainOptions describe a plain service process.
 type PlainOptions struct {
-	ID      string
-	Service string
-	Place   string
-	Address string
-	Weights string
+	ID         string
+	Service    string
+	DataCentre string
+	Address    string
+	Weights    string
 	// Listed is the address on the list if it is another, such as a proxy's.
 	Listed string
 	// Work is the time of one call.
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	p.server = server
-	machine := roster.MachineWire{ID: options.ID, Service: options.Service, Place: options.Place, Address: listedAs(options.Listed, server)}
+	machine := roster.MachineWire{ID: options.ID, Service: options.Service, DataCentre: options.DataCentre, Address: listedAs(options.Listed, server)}
 	if err := p.side.attach(ctx, machine); err != nil {
 		p.Close()
 		return nil, err
--- a/fakes/runner.go
+++ b/fakes/runner.go
@@ -15,11 +15,11 @@
 
 // RunnerOptions describe a model engine.
 type RunnerOptions struct {
-	ID      string
-	Service string
-	Place   string
-	Address string
-	Weights string
+	ID         string
+	Service    string
+	DataCentre string
+	Address    string
+	Weights    string
 	// Listed is the address on the list if it is another, such as a proxy's.
 	Listed   string
 	MemoryMB int
@@ -98,7 +98,7 @@
 		return nil, err
 	}
 	r.server = server
-	machine := roster.MachineWire{ID: options.ID, Service: options.Service, Place: options.Place, Address: listedAs(options.Listed, server)}
+	machine := roster.MachineWire{ID: options.ID, Service: options.Service, DataCentre: options.DataCentre, Address: listedAs(options.Listed, server)}
 	if err := r.side.attach(ctx, machine); err != nil {
 		r.Close()
 		return nil, err
--- a/front/settings.go
+++ b/front/settings.go
@@ -40,7 +40,7 @@
 // Settings are what one instance is started with.
 type Settings struct {
 	instance   cardamom.InstanceID
-	dataCentre cardamom.Place
+	dataCentre cardamom.DataCentre
 	store      string
 	seeds      []string
 	listen     Listen
@@ -137,8 +137,10 @@
 		to   *float64
 		from *float64
 	}{
-		{&profile.CopyTokens, p.CopyTokens}, {&profile.CopyRunning, p.CopyRunning},
-		{&profile.SecondCopyRate, p.SecondCopyRate}, {&profile.ScarceCopyRate, p.ScarceCopyRate},
+		{&profile.CopyTokens, p.CopyTokens},
+		{&profile.CopyRunning, p.CopyRunning},
+		{&profile.SecondCopyRate, p.SecondCopyRate},
+		{&profile.ScarceCopyRate, p.ScarceCopyRate},
 	} {
 		if field.from != nil {
 			*field.to = *field.from
@@ -204,7 +206,7 @@
 	}
 	return &Settings{
 		profiles: profiles,
-		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.Place(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
+		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.DataCentre(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
 		listen: Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
 		memory: int64(wire.MemoryMB * (1 << 20)), processor: wire.Processor, link: wire.LinkMbps, level: wire.LogLevel,
 		lease: ms(wire.LeaseMS), fenced: wire.FencesChecked, grace: ms(wire.GraceMS), ttl: ms(wire.AddressTTLMS),
--- a/ident.go
+++ b/ident.go
@@ -6,8 +6,8 @@
 // UpstreamID names a back end: a model runner or a plain service process.
 type UpstreamID string
 
-// Place names a zone: a data centre with its own power and network.
-type Place string
+// DataCentre names a data centre with its own power and network.
+type DataCentre string
 
 // ServiceID names a group of upstreams that run the same program.
 type ServiceID string
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -131,7 +131,7 @@
 
 func memberWire(m Member) *peerpb.Member {
 	return &peerpb.Member{
-		Id: string(m.instance.ID), Incarnation: uint64(m.incarnation), Place: string(m.instance.Place),
+		Id: string(m.instance.ID), Incarnation: uint64(m.incarnation), Place: string(m.instance.DataCentre),
 		CallerAddress: m.instance.CallerAddress, PeerAddress: m.instance.PeerAddress,
 		Beat: m.beat, Leaving: m.instance.State == cardamom.Leaving, Revision: uint64(m.revision),
 	}
@@ -143,7 +143,7 @@
 		state = cardamom.Leaving
 	}
 	instance := cardamom.Instance{
-		ID: cardamom.InstanceID(w.GetId()), Place: cardamom.Place(w.GetPlace()),
+		ID: cardamom.InstanceID(w.GetId()), DataCentre: cardamom.DataCentre(w.GetPlace()),
 		CallerAddress: w.GetCallerAddress(), PeerAddress: w.GetPeerAddress(), State: state,
 	}
 	return NewMember(instance, cardamom.Incarnation(w.GetIncarnation()), w.GetBeat(), cardamom.Revision(w.GetRevision()))
--- a/peers/state.go
+++ b/peers/state.go
@@ -46,7 +46,7 @@
 	return Member{instance: instance, incarnation: incarnation, beat: beat, revision: revision}
 }
 
-// Instance returns the member's name, place, addresses and state.
+// Instance returns the member's name, data centre, addresses and state.
 func (m Member) Instance() cardamom.Instance { return m.instance }
 
 // Incarnation returns which run of the instance it is.
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -24,7 +24,7 @@
 
 func instance(n int) cardamom.Instance {
 	return cardamom.Instance{
-		ID: cardamom.InstanceID(fmt.Sprintf("entry-hall-%d", n)), Place: "hall", State: cardamom.Live,
+		ID: cardamom.InstanceID(fmt.Sprintf("entry-hall-%d", n)), DataCentre: "hall", State: cardamom.Live,
 		CallerAddress: fmt.Sprintf("10.0.0.%d:7400", n), PeerAddress: fmt.Sprintf("10.0.0.%d:7401", n),
 	}
 }
--- a/policy/document.go
+++ b/policy/document.go
@@ -31,7 +31,7 @@
 	name        string
 	priority    int
 	replicas    int
-	places      int
+	centres     int
 	deadline    time.Duration
 	keep        string
 	keepFor     time.Duration
@@ -50,8 +50,8 @@
 // Replicas returns the greatest number of replicas of one model over all cells.
 func (p *Profile) Replicas() int { return p.replicas }
 
-// Places returns over how many cells the replicas are spread.
-func (p *Profile) Places() int { return p.places }
+// DataCentres returns over how many cells the replicas are spread.
+func (p *Profile) DataCentres() int { return p.centres }
 
 // Deadline returns the time a request has when its caller names none.
 func (p *Profile) Deadline() time.Duration { return p.deadline }
@@ -78,7 +78,7 @@
 type Service struct {
 	id          cardamom.ServiceID
 	kind        Kind
-	places      []cardamom.Place
+	centres     []cardamom.DataCentre
 	cells       []cardamom.CellID
 	fencing     bool
 	memory      int
@@ -92,8 +92,8 @@
 // Kind returns whether models or plain calls are served.
 func (s *Service) Kind() Kind { return s.kind }
 
-// Places returns where the service runs.
-func (s *Service) Places() []cardamom.Place { return s.places }
+// DataCentres returns where the service runs.
+func (s *Service) DataCentres() []cardamom.DataCentre { return s.centres }
 
 // Cells returns the service's cells in a fixed order.
 func (s *Service) Cells() []cardamom.CellID { return s.cells }
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -18,7 +18,7 @@
 const (
 	defaultPriority    = 5
 	defaultReplicas    = 2
-	defaultPlaces      = 1
+	defaultCentres     = 1
 	defaultDeadline    = 30 * time.Second
 	defaultKeep        = "gaps"
 	defaultKeepFor     = 5 * time.Minute
@@ -59,7 +59,7 @@
 func (p *parser) parseProfiles() {
 	for name := range p.wire.Profiles {
 		profile := &Profile{
-			name: name, priority: defaultPriority, replicas: defaultReplicas, places: defaultPlaces,
+			name: name, priority: defaultPriority, replicas: defaultReplicas, centres: defaultCentres,
 			deadline: defaultDeadline, keep: defaultKeep, keepFor: defaultKeepFor,
 			queue: defaultQueue, callerLimit: defaultCallerLimit, idempotent: true,
 		}
@@ -82,7 +82,7 @@
 	}
 	set(&profile.priority, wire.Priority)
 	set(&profile.replicas, wire.Replicas)
-	set(&profile.places, wire.Places)
+	set(&profile.centres, wire.DataCentres)
 	set(&profile.keep, wire.Keep)
 	set(&profile.minWarm, wire.MinWarm)
 	set(&profile.queue, wire.Queue)
@@ -94,8 +94,8 @@
 
 func (p *parser) checkProfile(profile *Profile) {
 	path := []string{"profiles", profile.name}
-	if profile.places > profile.replicas {
-		p.source.Faultf(path, "places %d exceeds replicas %d: a place would have no replica", profile.places, profile.replicas)
+	if profile.centres > profile.replicas {
+		p.source.Faultf(path, "places %d exceeds replicas %d: a place would have no replica", profile.centres, profile.replicas)
 	}
 	if profile.minWarm > profile.replicas {
 		p.source.Faultf(path, "min_warm %d exceeds replicas %d", profile.minWarm, profile.replicas)
@@ -114,8 +114,8 @@
 		if service.loadStreams == 0 {
 			service.loadStreams = defaultLoadStreams
 		}
-		for _, place := range wire.Places {
-			service.places = append(service.places, cardamom.Place(place))
+		for _, centre := range wire.DataCentres {
+			service.centres = append(service.centres, cardamom.DataCentre(centre))
 		}
 		if wire.Kind == "models" {
 			service.kind = KindModels
@@ -133,8 +133,8 @@
 func cellsOf(service *Service, perPlace int) []cardamom.CellID {
 	var cells []cardamom.CellID
 	for n := range perPlace {
-		for _, place := range service.places {
-			cells = append(cells, cardamom.CellID(fmt.Sprintf("%s/%s/%d", service.id, place, n)))
+		for _, centre := range service.centres {
+			cells = append(cells, cardamom.CellID(fmt.Sprintf("%s/%s/%d", service.id, centre, n)))
 		}
 	}
 	return cells
@@ -144,7 +144,7 @@
 	known, ok := p.document.profiles[profile]
 	if !ok {
 		p.source.Faultf([]string{kind, name, "profile"}, "profile %q does not exist", profile)
-		return &Profile{name: profile, replicas: 1, places: 1}
+		return &Profile{name: profile, replicas: 1, centres: 1}
 	}
 	return known
 }
@@ -171,14 +171,14 @@
 }
 
 // homeCells ranks the cells by the base's name, so that an adapter and its base
-// share their cells, and takes the first of each place.
+// share their cells, and takes the first of each data centre.
 func homeCells(service *Service, model *Model, wire modelWire) []cardamom.CellID {
 	key := string(model.id)
 	if wire.Base != "" {
 		key = wire.Base
 	}
 	ranked := rank.Order(key, service.cells)
-	return ranked[:min(max(model.profile.places, 1), len(ranked))]
+	return ranked[:min(max(model.profile.centres, 1), len(ranked))]
 }
 
 func (p *parser) checkModel(model *Model) {
@@ -190,17 +190,17 @@
 			p.source.Faultf(append(path, "base"), "base %q is not a model of service %q", model.base, model.service.id)
 			return
 		}
-		if base.profile.places < model.profile.places || base.profile.replicas < model.profile.replicas {
-			p.source.Faultf(path, "quota %d over %d places exceeds that of base %q", model.profile.replicas, model.profile.places, model.base)
+		if base.profile.centres < model.profile.centres || base.profile.replicas < model.profile.replicas {
+			p.source.Faultf(path, "quota %d over %d places exceeds that of base %q", model.profile.replicas, model.profile.centres, model.base)
 		}
 		need += base.memory
 	}
 	if need > model.service.memory {
 		p.source.Faultf(path, "needs %d MB, a runner of %q has %d MB", need, model.service.id, model.service.memory)
 	}
-	if model.profile.places > len(model.service.cells) {
+	if model.profile.centres > len(model.service.cells) {
 		p.source.Faultf(path, "profile %q spreads over %d places, service %q has %d cells",
-			model.profile.name, model.profile.places, model.service.id, len(model.service.cells))
+			model.profile.name, model.profile.centres, model.service.id, len(model.service.cells))
 	}
 }
 
--- a/policy/wire.go
+++ b/policy/wire.go
@@ -11,7 +11,7 @@
 	Extends     string  `json:"extends"`
 	Priority    *int    `json:"priority"`
 	Replicas    *int    `json:"replicas"`
-	Places      *int    `json:"places"`
+	DataCentres *int    `json:"places"`
 	DeadlineMS  *int64  `json:"deadline_ms"`
 	Keep        *string `json:"keep"`
 	KeepMS      *int64  `json:"keep_ms"`
@@ -23,7 +23,7 @@
 
 type serviceWire struct {
 	Kind           string   `json:"kind"`
-	Places         []string `json:"places"`
+	DataCentres    []string `json:"places"`
 	CellsPerPlace  int      `json:"cells_per_place"`
 	Fencing        bool     `json:"fencing"`
 	RunnerMemoryMB int      `json:"runner_memory_mb"`
--- a/proof/trace_test.go
+++ b/proof/trace_test.go
@@ -51,12 +51,12 @@
 	})
 })
 
-// strangerTo returns an instance outside the place of the model's cells.
+// strangerTo returns an instance outside the data centre of the model's cells.
 func (s *site) strangerTo(model string) string {
 	home := s.home(model)
 	var stranger fleet.Placed
 	for _, instance := range s.deployment.Instances() {
-		if home != "cell/llm/"+instance.Place+"/0" {
+		if home != "cell/llm/"+instance.DataCentre+"/0" {
 			stranger = instance
 		}
 	}
--- a/relay/find.go
+++ b/relay/find.go
@@ -117,7 +117,7 @@
 		candidate := pick.Candidate{
 			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: limit,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
-			Suspended: s.Health.Suspended(upstream.ID, now), Near: upstream.Place == s.DataCentre,
+			Suspended: s.Health.Suspended(upstream.ID, now), Near: upstream.DataCentre == s.DataCentre,
 			Expected: expected,
 		}
 		if x.tried[upstream.ID] {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -100,7 +100,7 @@
 
 // Options are what a server needs.
 type Options struct {
-	DataCentre cardamom.Place
+	DataCentre cardamom.DataCentre
 	Dialect    Dialect
 	Views      Viewer
 	Desk       *await.Desk
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -42,12 +42,12 @@
 
 // MachineWire is the JSON form of a listed machine.
 type MachineWire struct {
-	ID      string `json:"id"`
-	Service string `json:"service,omitempty"`
-	Place   string `json:"place"`
-	Address string `json:"address"`
-	Peer    string `json:"peer,omitempty"`
-	Leaving bool   `json:"leaving,omitempty"`
+	ID         string `json:"id"`
+	Service    string `json:"service,omitempty"`
+	DataCentre string `json:"place"`
+	Address    string `json:"address"`
+	Peer       string `json:"peer,omitempty"`
+	Leaving    bool   `json:"leaving,omitempty"`
 }
 
 // ListWire is the JSON form of the list.
@@ -92,14 +92,14 @@
 	list := &List{}
 	for _, m := range w.Instances {
 		list.instances = append(list.instances, cardamom.Instance{
-			ID: cardamom.InstanceID(m.ID), Place: cardamom.Place(m.Place),
+			ID: cardamom.InstanceID(m.ID), DataCentre: cardamom.DataCentre(m.DataCentre),
 			CallerAddress: m.Address, PeerAddress: m.Peer, State: m.state(),
 		})
 	}
 	for _, m := range w.Upstreams {
 		list.upstreams = append(list.upstreams, cardamom.Upstream{
 			ID: cardamom.UpstreamID(m.ID), Service: cardamom.ServiceID(m.Service),
-			Place: cardamom.Place(m.Place), Address: m.Address, State: m.state(),
+			DataCentre: cardamom.DataCentre(m.DataCentre), Address: m.Address, State: m.state(),
 		})
 	}
 	return list
--- a/route/place.go
+++ b/route/centre.go
@@ -9,20 +9,20 @@
 	"cardamomcourse.example/cardamom/route/rank"
 )
 
-// PlaceOf returns the place in a cell's name.
-func PlaceOf(cell cardamom.CellID) cardamom.Place {
+// DataCentreOf returns the data centre in a cell's name.
+func DataCentreOf(cell cardamom.CellID) cardamom.DataCentre {
 	parts := strings.Split(string(cell), "/")
 	if len(parts) != 3 {
 		return ""
 	}
-	return cardamom.Place(parts[1])
+	return cardamom.DataCentre(parts[1])
 }
 
 // CellOf returns the cell of a service that an upstream belongs to.
 func CellOf(service *policy.Service, upstream cardamom.Upstream) (cardamom.CellID, bool) {
 	var local []cardamom.CellID
 	for _, cell := range service.Cells() {
-		if PlaceOf(cell) == upstream.Place {
+		if DataCentreOf(cell) == upstream.DataCentre {
 			local = append(local, cell)
 		}
 	}
@@ -33,12 +33,12 @@
 }
 
 // Followers returns the active instances that follow a cell: those in its
-// place, all if there are none.
+// data centre, all if there are none.
 func Followers(cell cardamom.CellID, active []peers.Member) []cardamom.InstanceID {
 	var local, all []cardamom.InstanceID
 	for _, member := range active {
 		all = append(all, member.Instance().ID)
-		if member.Instance().Place == PlaceOf(cell) {
+		if member.Instance().DataCentre == DataCentreOf(cell) {
 			local = append(local, member.Instance().ID)
 		}
 	}
--- a/route/view.go
+++ b/route/view.go
@@ -125,7 +125,7 @@
 func (v *View) near(model *policy.Model) []peers.Member {
 	var members []peers.Member
 	for _, cell := range model.Cells() {
-		members = append(members, v.ranked(string(model.ID()), v.in(PlaceOf(cell)))...)
+		members = append(members, v.ranked(string(model.ID()), v.in(DataCentreOf(cell)))...)
 	}
 	if len(members) == 0 {
 		members = v.ranked(string(model.ID()), v.Active)
@@ -133,10 +133,10 @@
 	return members
 }
 
-func (v *View) in(place cardamom.Place) []peers.Member {
+func (v *View) in(centre cardamom.DataCentre) []peers.Member {
 	var members []peers.Member
 	for _, member := range v.Active {
-		if member.Instance().Place == place {
+		if member.Instance().DataCentre == centre {
 			members = append(members, member)
 		}
 	}
@@ -158,8 +158,8 @@
 }
 
 // Addresses returns the instances a caller should connect to for a model, or
-// for a plain service from a place. The caller picks one at random.
-func (v *View) Addresses(name string, place cardamom.Place) ([]peers.Member, bool) {
+// for a plain service from a data centre. The caller picks one at random.
+func (v *View) Addresses(name string, centre cardamom.DataCentre) ([]peers.Member, bool) {
 	if model, ok := v.Model(cardamom.ModelID(name)); ok {
 		near := v.near(model)
 		return near[:min(len(near), addressFan)], true
@@ -171,7 +171,7 @@
 	if !ok || service.Kind() != policy.KindPlain {
 		return nil, false
 	}
-	if near := v.in(place); len(near) > 0 {
+	if near := v.in(centre); len(near) > 0 {
 		return near, true
 	}
 	return v.Active, true
--- a/upstream.go
+++ b/upstream.go
@@ -13,9 +13,9 @@
 
 // Upstream is one listed back end.
 type Upstream struct {
-	ID      UpstreamID
-	Service ServiceID
-	Place   Place
+	ID         UpstreamID
+	Service    ServiceID
+	DataCentre DataCentre
 	// Address is the host:port of the HTTP interface.
 	Address string
 	State   UpstreamState
@@ -23,8 +23,8 @@
 
 // Instance is one listed entry instance.
 type Instance struct {
-	ID    InstanceID
-	Place Place
+	ID         InstanceID
+	DataCentre DataCentre
 	// CallerAddress is the host:port that callers connect to.
 	CallerAddress string
 	// PeerAddress is the host:port that other instances connect to.
