--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,7 +51,7 @@
 }
 
 func soakCommand() *cobra.Command {
-	var program, folder string
+	var program, folder, regressions string
 	var seed uint64
 	var seeds, instances int
 	var span time.Duration
@@ -60,8 +62,15 @@
 				return eris.Errorf("no program at %s; build it with: go build -o %s ./cmd/cardfront", program, program)
 			}
 			wire := &soakWire{Outcomes: make(map[string]int), Faults: make(map[string]int)}
+			list, err := regressionSeeds(regressions)
+			if err != nil {
+				return err
+			}
 			for n := range seeds {
-				runSoak(command.Context(), wire, program, folder, seed+uint64(n), instances, span)
+				list = append(list, seed+uint64(n))
+			}
+			for _, one := range list {
+				runSoak(command.Context(), wire, program, folder, one, instances, span)
 			}
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
@@ -78,6 +87,7 @@
 	}
 	command.Flags().StringVar(&program, "program", "bin/cardfront", "program under test")
 	command.Flags().StringVar(&folder, "folder", "", "folder for logs, kept; a temporary one without it")
+	command.Flags().StringVar(&regressions, "regressions", "", "file of seeds that failed once, played first")
 	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the first soak")
 	command.Flags().IntVar(&seeds, "seeds", 1, "how many soaks, one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "how many instances")
@@ -85,6 +95,31 @@
 	return command
 }
 
+// regressionSeeds reads a file with a seed at the start of each line.
+func regressionSeeds(path string) ([]uint64, error) {
+	if path == "" {
+		return nil, nil
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read seeds")
+	}
+	var seeds []uint64
+	for n, line := range strings.Split(string(body), "\n") {
+		text, _, _ := strings.Cut(line, "#")
+		text = strings.TrimSpace(text)
+		if text == "" {
+			continue
+		}
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return nil, eris.Errorf("%s:%d: %q is no seed", path, n+1, text)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
 // soak is one seeded series of faults.
 type soak struct {
 	site  *host.Site
--- a/fakes/host/link.go
+++ b/fakes/host/link.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -140,6 +142,11 @@
 				return
 			}
 		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			// A connection that was reset must not look as if it had ended.
+			reset(to)
+			return
+		}
 		if err != nil {
 			if half, ok := to.(*net.TCPConn); ok {
 				_ = half.CloseWrite()
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -12,12 +13,11 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"cardamomcourse.example/cardamom/fakes/fleet"
 )
 
 const (
@@ -96,12 +96,36 @@
 	return s, nil
 }
 
+// The ports of instances: below those of outgoing connections, and apart from
+// those of other processes that run sites beside this one.
+const (
+	firstPort    = 10000
+	portsEach    = 1000
+	portsParts   = 20
+	portAttempts = 200
+)
+
+// portsTaken counts the ports that this process has given out.
+var portsTaken atomic.Int64
+
+// freePort returns a loopback address that nothing listens on.
+func freePort() (string, error) {
+	first := firstPort + os.Getpid()%portsParts*portsEach
+	for range portAttempts {
+		port := first + int(portsTaken.Add(1))%portsEach
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
+	}
+	return "", eris.New("no free port found")
+}
+
 // newInstance writes the settings of an instance.
 func (s *Site) newInstance(name, program, store string) (*Instance, error) {
 	ports := make([]string, 5)
 	for i := range ports {
-		// Below the ports of outgoing connections, which could take it meanwhile.
-		address, err := fleet.FreePort()
+		address, err := freePort()
 		if err != nil {
 			return nil, err
 		}
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -58,6 +58,11 @@
 		x.fail(http.StatusBadGateway, "unfounded_refusal")
 		return false
 	}
+	if x.started && status >= http.StatusMultipleChoices {
+		// The caller has a part of the stream; the rest will not come.
+		_, _ = drain(response)
+		x.abort("not_resumed")
+	}
 	if x.route.Kind == site.Streaming && status < http.StatusMultipleChoices {
 		return x.stream(upstream, response)
 	}
