--- /dev/null
+++ b/conns/conns_test.go
@@ -0,0 +1,176 @@
+package conns_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/conns"
+)
+
+func TestConns(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "conns")
+}
+
+// peer answers each connection by a function.
+func peer(serve func(c net.Conn, number int)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for number := 1; ; number++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, number)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request without a body.
+func readRequest(c net.Conn) bool {
+	var head strings.Builder
+	one := make([]byte, 1)
+	for !strings.HasSuffix(head.String(), "\r\n\r\n") {
+		if _, err := c.Read(one); err != nil {
+			return false
+		}
+		head.Write(one)
+	}
+	return true
+}
+
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get(pool *conns.Pool, address string, once bool) (string, error) {
+	response, err := pool.Do(context.Background(), address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h", Once: once})
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+var _ = Describe("connections to upstreams", func() {
+	var opened atomic.Int64
+	var pool *conns.Pool
+
+	BeforeEach(func() {
+		opened.Store(0)
+		pool = conns.New(func() { opened.Add(1) })
+	})
+
+	It("are kept for the next request", func() {
+		address := peer(func(c net.Conn, _ int) {
+			for readRequest(c) {
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		for range 3 {
+			Expect(get(pool, address, false)).To(Equal("ok"))
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("are not used again after bytes that belong to no request", func() {
+		address := peer(func(c net.Conn, _ int) {
+			for readRequest(c) {
+				_, _ = io.WriteString(c, answer+answer)
+			}
+		})
+		Expect(get(pool, address, false)).To(Equal("ok"))
+		Expect(get(pool, address, false)).To(Equal("ok"))
+		Expect(opened.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("tell a request that was not sent from one that may have run", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listener.Close()).To(Succeed())
+		_, err = get(pool, listener.Addr().String(), false)
+		Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue())
+		address := peer(func(c net.Conn, _ int) { readRequest(c) })
+		_, err = get(pool, address, false)
+		Expect(errors.Is(err, conns.ErrBroken)).To(BeTrue())
+	})
+
+	It("never send a request a second time by themselves", func() {
+		var requests atomic.Int64
+		address := peer(func(c net.Conn, number int) {
+			for n := 0; readRequest(c); n++ {
+				requests.Add(1)
+				if number == 1 && n == 1 {
+					return
+				}
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		Expect(get(pool, address, false)).To(Equal("ok"))
+		_, err := get(pool, address, false)
+		Expect(errors.Is(err, conns.ErrBroken)).To(BeTrue())
+		Expect(requests.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("report a response that is cut",
+		func(bytes string) {
+			address := peer(func(c net.Conn, _ int) {
+				readRequest(c)
+				_, _ = io.WriteString(c, bytes)
+			})
+			_, err := get(pool, address, false)
+			Expect(errors.Is(err, conns.ErrBroken) || errors.Is(err, conns.ErrGarbled)).To(BeTrue(), "%v", err)
+		},
+		Entry("in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"),
+		Entry("in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"),
+		Entry("before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"),
+		Entry("in its header", "HTTP/1.1 200 OK\r\nContent-Le"),
+		Entry("that is none", "hello\r\n\r\n"),
+	)
+
+	It("read a response that comes before a long request was read", func() {
+		address := peer(func(c net.Conn, _ int) {
+			readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, c)
+		})
+		response, err := pool.Do(context.Background(), address, &conns.Request{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 16<<20)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Status()).To(Equal(http.StatusTooManyRequests))
+		response.Close()
+	})
+
+	It("close when the request's caller leaves", func() {
+		left, arrived := make(chan struct{}), make(chan bool, 1)
+		address := peer(func(c net.Conn, _ int) {
+			arrived <- readRequest(c)
+			_, _ = c.Read(make([]byte, 1))
+			close(left)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := pool.Do(ctx, address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			done <- err
+		}()
+		Eventually(arrived, 10*time.Second).Should(Receive(BeTrue()))
+		cancel()
+		Eventually(done, 10*time.Second).Should(Receive(HaveOccurred()))
+		Eventually(left, 10*time.Second).Should(BeClosed())
+	})
+})
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -218,6 +218,9 @@
 		for _, upstream := range w.Asks(now) {
 			l.ask(name, upstream)
 		}
+		for _, done := range w.Done() {
+			l.logger.Info("order_done", "order", done.Order.Kind, "model", done.Order.Model, "upstream", done.Upstream, "fence", t.number, "took_ms", done.Took.Milliseconds())
+		}
 		t.publishWorld(w)
 	}
 	t.answerAwaits(now)
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -28,7 +28,7 @@
 	if !ok {
 		return
 	}
-	p := &pending{order: m.Order, sent: now, doubt: true, asked: now}
+	p := &pending{order: m.Order, began: now, sent: now, doubt: true, asked: now}
 	p.ready = now
 	if m.Order.Kind == site.Load && m.Order.Adapter == "" {
 		p.ready = now.Add(w.loadTime(e, m.Order.Model))
--- a/plan/world.go
+++ b/plan/world.go
@@ -81,6 +81,7 @@
 // pending is an order that is being carried out or may be.
 type pending struct {
 	order  site.Order
+	began  time.Time
 	sent   time.Time
 	ready  time.Time
 	asked  time.Time
@@ -119,6 +120,11 @@
 	since   time.Time
 	// swaps counts loads that requests waited for.
 	swaps use
+	// done has orders that were carried out and not yet told.
+	done []Done
+	// rareRate is what rare models were asked for at rareAt.
+	rareRate float64
+	rareAt   time.Time
 	// began is when the first demand was counted.
 	began   time.Time
 	changes uint64
@@ -128,6 +134,20 @@
 	atHands    map[cardamom.ModelID]bool
 }
 
+// Done is an order that was carried out.
+type Done struct {
+	Upstream cardamom.UpstreamID
+	Order    site.Order
+	Took     time.Duration
+}
+
+// Done returns the orders that were carried out since the last call.
+func (w *World) Done() []Done {
+	done := w.done
+	w.done = nil
+	return done
+}
+
 // want is a model or adapter that requests wait for.
 type want struct {
 	model   cardamom.ModelID
@@ -242,6 +262,7 @@
 		if p.stored {
 			w.learn(p, now)
 		}
+		w.done = append(w.done, Done{Upstream: e.ID, Order: p.order, Took: now.Sub(p.began)})
 		e.pending = nil
 		w.touch(e)
 	}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,78 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cardamomcourse.example/cardamom/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var limits = retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}
+
+// TestWindows holds the budget of several instances against every window of a
+// random history.
+func TestWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 12).Draw(t, "instances")
+		budgets := make([]*retry.Budget, instances)
+		for i := range budgets {
+			budgets[i] = retry.New(limits)
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 600).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				budget.Earn("s", now)
+				requests = append(requests, now)
+			} else if budget.Spend("s", instances, now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			if spent, allowed := within(repeats, end, limits.Window), limits.Ratio*float64(within(requests, end, limits.Window))+limits.Slack; float64(spent) > allowed {
+				t.Fatalf("%d repeats in the window before %v, %.1f allowed", spent, end, allowed)
+			}
+		}
+	})
+}
+
+// within counts the times in the window that ends with end.
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < window {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("the budget", func() {
+	It("allows repeats again once the window has passed", func() {
+		budget := retry.New(limits)
+		now := time.Unix(1000, 0)
+		for budget.Spend("s", 8, now) {
+		}
+		Expect(budget.Spend("s", 8, now.Add(time.Second))).To(BeFalse())
+		Expect(budget.Spend("s", 8, now.Add(2*limits.Window))).To(BeTrue())
+	})
+
+	It("counts each service by itself", func() {
+		budget := retry.New(limits)
+		now := time.Unix(1000, 0)
+		for budget.Spend("s", 8, now) {
+		}
+		Expect(budget.Spend("other", 8, now)).To(BeTrue())
+	})
+})
