--- a/plan/decide.go
+++ b/plan/decide.go
@@ -32,16 +32,6 @@
 	recentLoss = 0.5
 	// ceilingShare is the part of the store's rate that is used, in percent.
 	ceilingShare = 90
-	// roomyShare is the part of a copy's prompt tokens from which another is
-	// wanted where rare models are asked for at cheapPlace or less; at dearPlace
-	// a copy has to carry all of it. Both are arrivals a second as use.rate
-	// estimates them, rareBelow is what counts as rare.
-	roomyShare = 0.65
-	cheapPlace = 0.08
-	dearPlace  = 0.10
-	rareBelow  = 0.5
-	// rareEvery is the time between two looks at what rare models are asked for.
-	rareEvery = 500 * time.Millisecond
 	// roomTime is how long an engine keeps the purpose for which it drops a
 	// model: the drop waits for the model's requests.
 	roomTime = 8 * time.Second
@@ -176,7 +166,7 @@
 	if u.decayed(now)/span >= w.secondRate(now) {
 		count = 2
 	}
-	count = max(count, int(math.Ceil(w.tokenRate(model, now)/w.copyTokens(now))))
+	count = max(count, int(math.Ceil(w.tokenRate(model, now)/w.profile.CopyTokens)))
 	count = max(count, int(math.Ceil(float64(u.running+u.waiting)/w.profile.CopyRunning)))
 	return min(count, w.profile.MostCopies)
 }
@@ -192,34 +182,6 @@
 	return w.profile.SecondCopyRate
 }
 
-// copyTokens returns how many prompt tokens a second one copy is to read. A
-// copy takes the place of a rare model, so the more those are asked for, the
-// more a copy has to carry.
-func (w *World) copyTokens(now time.Time) float64 {
-	if now.Sub(w.rareAt) >= rareEvery {
-		w.rareAt, w.rareRate = now, w.meanRareRate(now)
-	}
-	share := (w.rareRate - cheapPlace) / (dearPlace - cheapPlace)
-	return w.profile.CopyTokens * (roomyShare + (1-roomyShare)*min(max(share, 0), 1))
-}
-
-// meanRareRate returns the mean arrivals a second of models that are rarely
-// asked for.
-func (w *World) meanRareRate(now time.Time) float64 {
-	total, count := 0.0, 0
-	for model := range w.spec.Models {
-		u, ok := w.uses[model]
-		if !ok {
-			u = &use{}
-		}
-		if rate := u.rate(now); rate < rareBelow {
-			total += rate
-			count++
-		}
-	}
-	return total / float64(max(count, 1))
-}
-
 // Decide returns the orders to give now: for what requests wait for first, then
 // copies for models in demand, then models that no engine has at hand.
 func (w *World) Decide(now time.Time) []Move {
--- a/plan/world.go
+++ b/plan/world.go
@@ -122,9 +122,6 @@
 	swaps use
 	// done has orders that were carried out and not yet told.
 	done []Done
-	// rareRate is what rare models were asked for at rareAt.
-	rareRate float64
-	rareAt   time.Time
 	// began is when the first demand was counted.
 	began   time.Time
 	changes uint64
