--- a/plan/profile.go
+++ b/plan/profile.go
@@ -17,6 +17,6 @@
 	MostCopies int
 }
 
-// DefaultProfile is for engines that read about 40,000 tokens a second: a copy
-// reads about half of it, an engine batches several times CopyRunning.
-var DefaultProfile = Profile{CopyTokens: 24000, CopyRunning: 14, SecondCopyRate: 1.5, ScarceCopyRate: 4, MostCopies: 6}
+// DefaultProfile is for engines that read about 40,000 tokens a second and keep
+// a part of most prompts, and that batch several times CopyRunning.
+var DefaultProfile = Profile{CopyTokens: 36000, CopyRunning: 14, SecondCopyRate: 1.5, ScarceCopyRate: 4, MostCopies: 6}
