--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -57,8 +57,8 @@
 
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-func get(pool *conns.Pool, address string, once bool) (string, error) {
-	response, err := pool.Do(context.Background(), address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h", Once: once})
+func get(pool *conns.Pool, address string) (string, error) {
+	response, err := pool.Do(context.Background(), address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h"})
 	if err != nil {
 		return "", err
 	}
@@ -83,7 +83,7 @@
 			}
 		})
 		for range 3 {
-			Expect(get(pool, address, false)).To(Equal("ok"))
+			Expect(get(pool, address)).To(Equal("ok"))
 		}
 		Expect(opened.Load()).To(BeEquivalentTo(1))
 	})
@@ -94,8 +94,8 @@
 				_, _ = io.WriteString(c, answer+answer)
 			}
 		})
-		Expect(get(pool, address, false)).To(Equal("ok"))
-		Expect(get(pool, address, false)).To(Equal("ok"))
+		Expect(get(pool, address)).To(Equal("ok"))
+		Expect(get(pool, address)).To(Equal("ok"))
 		Expect(opened.Load()).To(BeEquivalentTo(2))
 	})
 
@@ -103,10 +103,10 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(listener.Close()).To(Succeed())
-		_, err = get(pool, listener.Addr().String(), false)
+		_, err = get(pool, listener.Addr().String())
 		Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue())
 		address := peer(func(c net.Conn, _ int) { readRequest(c) })
-		_, err = get(pool, address, false)
+		_, err = get(pool, address)
 		Expect(errors.Is(err, conns.ErrBroken)).To(BeTrue())
 	})
 
@@ -121,8 +121,8 @@
 				_, _ = io.WriteString(c, answer)
 			}
 		})
-		Expect(get(pool, address, false)).To(Equal("ok"))
-		_, err := get(pool, address, false)
+		Expect(get(pool, address)).To(Equal("ok"))
+		_, err := get(pool, address)
 		Expect(errors.Is(err, conns.ErrBroken)).To(BeTrue())
 		Expect(requests.Load()).To(BeEquivalentTo(2))
 	})
@@ -133,7 +133,7 @@
 				readRequest(c)
 				_, _ = io.WriteString(c, bytes)
 			})
-			_, err := get(pool, address, false)
+			_, err := get(pool, address)
 			Expect(errors.Is(err, conns.ErrBroken) || errors.Is(err, conns.ErrGarbled)).To(BeTrue(), "%v", err)
 		},
 		Entry("in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"),
--- a/front/front.go
+++ b/front/front.go
@@ -65,6 +65,7 @@
 	logger   hclog.Logger
 	servers  []*service
 	entry    *http.Server
+	idlers   *idlers
 }
 
 // gate tells whether the instance is leaving, and whether it takes no further
@@ -98,8 +99,8 @@
 
 // New returns an instance that has not started.
 func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, server *relay.Server, counts *tally.Tally, g *gate, logger hclog.Logger) *Instance {
-	i := &Instance{settings: settings, loop: loop, pool: pool, tally: counts, gate: g, logger: logger}
-	i.entry = &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	i := &Instance{settings: settings, loop: loop, pool: pool, tally: counts, gate: g, logger: logger, idlers: newIdlers()}
+	i.entry = &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: i.idlers.note}
 	return i
 }
 
@@ -142,6 +143,9 @@
 	go func() {
 		for pause.For(runCtx, sweepEvery) {
 			i.pool.Sweep(time.Now())
+			if catalog := i.loop.View().Catalog(); catalog != nil {
+				i.idlers.sweep(catalog.Limits().IdleTimeout, time.Now())
+			}
 		}
 	}()
 	listen := i.settings.listen
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -143,6 +143,10 @@
 		x.refuse("no_catalog", soonWait)
 		return
 	}
+	if limit := view.Catalog().Limits().HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		x.fail(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
+		return
+	}
 	route, ok := view.Catalog().Match(r.Host, rawPath(r))
 	if !ok {
 		x.fail(http.StatusNotFound, "no_route")
@@ -160,6 +164,17 @@
 	x.run()
 }
 
+// headerBytes returns the size of a request's head about as it was sent.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // rawPath returns the path as it arrived.
 func rawPath(r *http.Request) string {
 	if !strings.HasPrefix(r.RequestURI, "/") {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -109,7 +109,7 @@
 	catalog := site.NewCatalog(3, []site.Route{
 		route("/safe/", site.Idempotent, "plain", false), route("/once/", site.NonIdempotent, "plain", false),
 		route("/stream/", site.Streaming, "models", false), route("/resume/", site.Streaming, "models", true),
-	}, []site.Service{{Name: "plain"}, {Name: "models", Engine: models}}, site.Limits{BodyBytes: 1000})
+	}, []site.Service{{Name: "plain"}, {Name: "models", Engine: models}}, site.Limits{BodyBytes: 1000, HeaderBytes: 4000})
 	closing, closeNow := context.WithCancel(context.Background())
 	w.closing = closeNow
 	DeferCleanup(closeNow)
@@ -262,7 +262,7 @@
 		}, 10*time.Second).Should(Equal(1))
 	})
 
-	It("answers 404 for what no route matches and 413 for what is too large", func() {
+	It("answers 404 for what no route matches, 413 and 431 for what is too large", func() {
 		w := newWorld(coord.Prospect{})
 		response, err := http.DefaultClient.Do(w.ask("/nowhere/x", "", nil))
 		Expect(err).NotTo(HaveOccurred())
@@ -274,6 +274,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		response.Body.Close()
 		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		response, err = http.DefaultClient.Do(w.ask("/safe/x", "", map[string]string{"X-Long": strings.Repeat("x", 5000)}))
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 		Expect(w.runs()).To(BeEmpty())
 	})
 })
