--- a/retry/budget.go
+++ b/retry/budget.go
@@ -24,6 +24,8 @@
 	// leastMembers is how many instances are assumed at least, so that a few
 	// that see each other late stay within the common slack.
 	leastMembers = 8
+	// unknownMembers is how many are assumed before any are known.
+	unknownMembers = 100
 	// slots is how many parts a window has.
 	slots = 10
 )
@@ -42,6 +44,10 @@
 	mu       sync.Mutex
 	limits   Limits
 	services map[cardamom.ServiceID]*ring
+	// most is the greatest number of members within the window before mostAt,
+	// since a new coordinator finds them one by one.
+	most   int
+	mostAt time.Time
 }
 
 // New returns a budget without any requests.
@@ -78,6 +84,17 @@
 	r.requests[r.part%(slots+1)]++
 }
 
+// members returns how many instances share the budget.
+func (b *Budget) members(known int, now time.Time) int {
+	if known <= 0 && b.most == 0 {
+		return unknownMembers
+	}
+	if known >= b.most || now.Sub(b.mostAt) > b.limits.Window {
+		b.most, b.mostAt = known, now
+	}
+	return b.most
+}
+
 // Spend counts a repeat and tells whether it is within this instance's share.
 func (b *Budget) Spend(service cardamom.ServiceID, members int, now time.Time) bool {
 	b.mu.Lock()
@@ -88,7 +105,7 @@
 		requests += r.requests[i]
 		repeats += r.repeats[i]
 	}
-	share := b.limits.Slack * slackShare / float64(max(members, leastMembers))
+	share := b.limits.Slack * slackShare / float64(max(b.members(members, now), leastMembers))
 	if float64(repeats+1) > share+b.limits.Ratio*ratioShare*float64(requests) {
 		return false
 	}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -68,6 +68,24 @@
 		Expect(budget.Spend("s", 8, now.Add(2*limits.Window))).To(BeTrue())
 	})
 
+	It("is careful before members are known, and while a new coordinator finds them", func() {
+		spend := func(members ...int) int {
+			budget := retry.New(limits)
+			now := time.Unix(1000, 0)
+			count := 0
+			for _, n := range members {
+				now = now.Add(100 * time.Millisecond)
+				for budget.Spend("s", n, now) {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(spend(0)).To(BeZero())
+		Expect(spend(30, 1, 2)).To(Equal(spend(30)))
+		Expect(spend(8)).To(BeNumerically(">", spend(30)))
+	})
+
 	It("counts each service by itself", func() {
 		budget := retry.New(limits)
 		now := time.Unix(1000, 0)
