--- a/relay/find.go
+++ b/relay/find.go
@@ -104,7 +104,7 @@
 		var expected time.Duration
 		if needsModel {
 			expected = s.Pace.Expected(upstream.ID, now)
-			if now.Sub(x.arrived)+expected > x.patience() {
+			if expected > x.remaining(now) {
 				// What is sent there now gets its first event too late.
 				slow++
 				continue
@@ -203,6 +203,15 @@
 	return patience - answerMargin
 }
 
+// remaining returns how much longer the caller waits for the next event: of a
+// stream that has begun as long as for the first.
+func (x *exchange) remaining(now time.Time) time.Duration {
+	if x.started {
+		return min(x.route.Patience()-answerMargin, x.deadline().Sub(now))
+	}
+	return x.arrived.Add(x.patience()).Sub(now)
+}
+
 // awaitModel waits until the model is loaded, or refuses the request if it will
 // come too late.
 func (x *exchange) awaitModel() {
@@ -214,11 +223,7 @@
 			return
 		}
 	}
-	left := time.Until(x.arrived.Add(x.patience()))
-	if x.started {
-		// Callers of a stream wait for the next event as long as for the first.
-		left = min(x.route.Patience()-answerMargin, time.Until(x.deadline()))
-	}
+	left := x.remaining(time.Now())
 	if left <= 0 {
 		x.stopWaiting()
 		x.giveUp("model_late")
--- /dev/null
+++ b/relay/find_internal_test.go
@@ -0,0 +1,26 @@
+package relay
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/site"
+)
+
+var _ = Describe("the time that a caller still waits", func() {
+	start := time.Unix(1000, 0)
+	route := &site.Route{Kind: site.Streaming, Timeout: 15 * time.Second, Target: 400 * time.Millisecond, Gap: 300 * time.Millisecond}
+
+	DescribeTable("of a stream",
+		func(started bool, after, expected time.Duration) {
+			x := &exchange{arrived: start, route: route, started: started, ask: Ask{Deadline: 15 * time.Second}}
+			Expect(x.remaining(start.Add(after))).To(Equal(expected))
+		},
+		Entry("is the patience less what it took so far", false, time.Second, 2400*time.Millisecond-answerMargin-time.Second),
+		Entry("is used up before the first event", false, 3*time.Second, -600*time.Millisecond-answerMargin),
+		Entry("starts again with each event", true, 6*time.Second, 2400*time.Millisecond-answerMargin),
+		Entry("ends with the deadline", true, 14*time.Second, time.Second),
+	)
+})
