--- a/conns/conns.go
+++ b/conns/conns.go
@@ -256,11 +256,6 @@
 // Length returns the stated length of the body, -1 if there is none.
 func (r *Response) Length() int64 { return r.inner.ContentLength }
 
-// Framed tells whether the body's end is marked other than by a close.
-func (r *Response) Framed() bool {
-	return r.inner.ContentLength >= 0 || len(r.inner.TransferEncoding) > 0
-}
-
 // Read reads the body. io.EOF means that it is whole.
 func (r *Response) Read(data []byte) (int, error) {
 	n, err := r.inner.Body.Read(data)
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -94,7 +94,6 @@
 	behind       bool
 	needDocument bool
 	changed      bool
-	wake         map[chan struct{}]bool
 	ctx          context.Context
 }
 
@@ -113,7 +112,6 @@
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventRoom), board: newBoard(),
 		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), ledger: options.Ledger},
 		lease:   lease.New(options.ID, options.Term), peers: newPeers(),
-		wake: make(map[chan struct{}]bool),
 	}
 }
 
@@ -187,24 +185,10 @@
 		view := l.picture.view()
 		view.coordinates = l.tenure != nil
 		l.board.current.Store(view)
-		for waiter := range l.wake {
-			select {
-			case waiter <- struct{}{}:
-			default:
-			}
-		}
 	}
 	return wait
 }
 
-// Watch returns a channel that gets a value after each change of the view, and
-// a function that ends the watch.
-func (l *Loop) Watch() (<-chan struct{}, func()) {
-	waiter := make(chan struct{}, 1)
-	l.post(func(time.Time) { l.wake[waiter] = true })
-	return waiter, func() { l.post(func(time.Time) { delete(l.wake, waiter) }) }
-}
-
 // setCatalog takes a catalog if it is newer than the known one.
 func (l *Loop) setCatalog(document []byte, catalog *site.Catalog, origin string) {
 	known := l.picture.catalog
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -108,8 +108,6 @@
 	for _, upstream := range l.picture.upstreams {
 		t.update(upstream, now)
 	}
-	l.options.Catalogs.Reset()
-	l.options.Upstreams.Reset()
 }
 
 // endTenure stops to coordinate. Calls that wait are told to ask elsewhere.
--- a/plan/world.go
+++ b/plan/world.go
@@ -277,15 +277,6 @@
 	return list
 }
 
-// IDs returns the names of all engines.
-func (w *World) IDs() []cardamom.UpstreamID {
-	ids := make([]cardamom.UpstreamID, 0, len(w.engines))
-	for id := range w.engines {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // usable returns the engine without what its pending order takes away.
 func (e *engine) usable() *site.Upstream {
 	view := e.Upstream
