Plan around an engine that its requests cannot reach

Now a request whose engines can't be reached waits for the model and names them to the coordinator; after two missing reports it loads elsewhere, and one report clears the doubt. Two observers are needed: the coordinator's own doubts count only if it is alone. Ruled out: one missing report as proof (one is lost on a bad link), and the coordinator's word alone (it may be cut off itself).

--- a/await/await.go
+++ b/await/await.go
@@ -13,6 +13,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,17 +74,20 @@
 	known    bool
 	began    time.Time
 	expected time.Time
+	// doubts are upstreams that the requests could not reach.
+	doubts map[cardamom.UpstreamID]bool
 }
 
 // New returns a desk on which nobody waits.
 func New(asker Asker) *Desk { return &Desk{asker: asker, groups: make(map[Key]*group)} }
 
 // Wait returns when the key is ready, when it is plain that it will not be
-// within the patience, or when ctx ends.
-func (d *Desk) Wait(ctx context.Context, key Key, patience time.Duration) Verdict {
+// within the patience, or when ctx ends. The doubts are upstreams that hold the
+// model and could not be reached.
+func (d *Desk) Wait(ctx context.Context, key Key, patience time.Duration, doubts ...cardamom.UpstreamID) Verdict {
 	now := time.Now()
 	end := now.Add(patience)
-	g := d.join(key, end, now)
+	g := d.join(key, end, now, doubts)
 	defer d.leave(g)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -123,15 +128,18 @@
 	}
 }
 
-func (d *Desk) join(key Key, end, now time.Time) *group {
+func (d *Desk) join(key Key, end, now time.Time, doubts []cardamom.UpstreamID) *group {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g, ok := d.groups[key]
 	if !ok {
-		g = &group{changed: make(chan struct{}), began: now}
+		g = &group{changed: make(chan struct{}), began: now, doubts: make(map[cardamom.UpstreamID]bool)}
 		d.groups[key] = g
 		go d.ask(key, g)
 	}
+	for _, id := range doubts {
+		g.doubts[id] = true
+	}
 	g.waiting++
 	if end.After(g.latest) {
 		g.latest = end
@@ -158,9 +166,11 @@
 			return
 		}
 		waiting, patience := g.waiting, time.Until(g.latest)
+		doubts := slices.Sorted(maps.Keys(g.doubts))
+		clear(g.doubts)
 		d.mu.Unlock()
 		prospect := d.asker.Await(context.Background(), coord.Need{
-			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: waiting, Hold: hold, Patience: patience,
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: waiting, Hold: hold, Patience: patience, Doubts: doubts,
 		})
 		d.take(g, prospect, time.Now())
 		hold = longestHold
--- a/await/await_test.go
+++ b/await/await_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/await"
 	"cardamomcourse.example/cardamom/coord"
 )
@@ -88,6 +89,18 @@
 		Eventually(patient, 10*time.Second).Should(Receive(HaveField("Ready", true)))
 	})
 
+	It("tells once which upstreams could not be reached", func() {
+		a := &asker{answers: make(chan coord.Prospect)}
+		desk := await.New(a)
+		verdicts := make(chan await.Verdict, 1)
+		go func() { verdicts <- desk.Wait(context.Background(), key, time.Minute, "i-2", "i-1") }()
+		a.answers <- coord.Prospect{Known: true, Expected: time.Second}
+		a.answers <- coord.Prospect{Known: true, Ready: true}
+		Eventually(verdicts, 10*time.Second).Should(Receive(HaveField("Ready", true)))
+		Expect(a.asked()[0].Doubts).To(Equal([]cardamom.UpstreamID{"i-1", "i-2"}))
+		Expect(a.asked()[1].Doubts).To(BeEmpty())
+	})
+
 	It("refuses short requests while no coordinator answers", func() {
 		desk := await.New(&asker{standing: &coord.Prospect{Expected: -1}})
 		verdict := desk.Wait(context.Background(), key, 2*time.Second)
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -154,6 +154,7 @@
 			if u := int(request.GetWaiting()); u > 0 {
 				w.Waits(a.model, u)
 			}
+			t.doubt(w, request, now)
 		}
 		a.until = now.Add(time.Duration(request.GetHoldMs()) * time.Millisecond)
 		t.awaits[a] = true
@@ -174,6 +175,18 @@
 	}
 }
 
+// doubt takes the engines that an instance could not reach. What this instance
+// itself could not reach counts only if there is no other: a report that does
+// not come would be the same observer's word.
+func (t *tenure) doubt(w *world, request *syncpb.AwaitRequest, now time.Time) {
+	if request.GetInstance() == string(t.loop.options.ID) && len(t.members) > 1 {
+		return
+	}
+	for _, id := range request.GetDoubts() {
+		w.Doubt(cardamom.UpstreamID(id), now)
+	}
+}
+
 func encodeSuspects(suspects []poison.Suspect) []*syncpb.Suspect {
 	list := make([]*syncpb.Suspect, 0, len(suspects))
 	for _, suspect := range suspects {
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -232,6 +232,8 @@
 	Model   cardamom.ModelID
 	Adapter string
 	Waiting int
+	// Doubts are the upstreams that hold it and could not be reached.
+	Doubts []cardamom.UpstreamID
 	// Hold is how long the call may wait, Patience how long the requests can.
 	Hold     time.Duration
 	Patience time.Duration
@@ -253,6 +255,9 @@
 		Service: string(need.Service), Model: string(need.Model), Adapter: need.Adapter, Waiting: int32(need.Waiting),
 		HoldMs: need.Hold.Milliseconds(), NeedMs: need.Patience.Milliseconds(), Instance: string(l.options.ID),
 	}
+	for _, id := range need.Doubts {
+		request.Doubts = append(request.Doubts, string(id))
+	}
 	type target struct {
 		own    bool
 		client syncpb.Sync
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -68,6 +68,7 @@
 // Engine is an upstream of the platform. It is safe for concurrent use.
 type Engine struct {
 	mu     sync.Mutex
+	ending sync.Once
 	spec   EngineSpec
 	store  *Store
 	server *httptest.Server
@@ -155,12 +156,14 @@
 
 // Close ends the upstream as a crash does.
 func (e *Engine) Close() {
-	close(e.hung)
-	if e.link != nil {
-		e.link.Close()
-	}
-	e.server.CloseClientConnections()
-	e.server.Close()
+	e.ending.Do(func() {
+		close(e.hung)
+		if e.link != nil {
+			e.link.Close()
+		}
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
 }
 
 // sharing guards scripts that several upstreams take behaviours from.
--- a/plan/copies.go
+++ b/plan/copies.go
@@ -21,7 +21,7 @@
 	w.copyCounts = make(map[cardamom.ModelID]int, len(w.spec.Models))
 	w.atHands = make(map[cardamom.ModelID]bool, len(w.spec.Models))
 	for _, e := range w.engines {
-		if e.State != cardamom.Live {
+		if !e.live() {
 			continue
 		}
 		for model := range e.Held {
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -154,7 +154,7 @@
 		return Move{}, false
 	}
 	spec, ok := w.spec.Models[e.purpose]
-	if !ok || e.State != cardamom.Live || now.After(e.within) || e.willHold(e.purpose) {
+	if !ok || !e.live() || now.After(e.within) || e.willHold(e.purpose) {
 		e.purpose = ""
 		w.copyCounts = nil
 		return Move{}, false
@@ -229,5 +229,5 @@
 
 // free tells whether the engine takes an order now.
 func (e *engine) free(now time.Time) bool {
-	return e.State == cardamom.Live && e.pending == nil && !e.unsure && !now.Before(e.rest)
+	return e.live() && !e.doubt.asking && e.pending == nil && !e.unsure && !now.Before(e.rest)
 }
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -122,6 +122,9 @@
 		if p != nil {
 			due = !now.Before(p.ready.Add(-askAhead)) && now.Sub(p.asked) >= askEvery
 		}
+		if e.doubt.due(now) {
+			due, e.doubt.asked = true, now
+		}
 		if !due {
 			continue
 		}
@@ -159,7 +162,7 @@
 		}
 	}
 	for _, e := range w.engines {
-		if e.State != cardamom.Live {
+		if !e.live() {
 			continue
 		}
 		switch view := e.usable(); {
@@ -176,7 +179,7 @@
 		return best, true
 	}
 	for _, e := range w.engines {
-		if e.State != cardamom.Live {
+		if !e.live() {
 			continue
 		}
 		wait := w.loadTime(e, model) + askEvery
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -54,6 +54,10 @@
 	Moves []string `json:"moves"`
 	// Number is the expected number of orders where their choice is free.
 	Number *int `json:"number"`
+	// Asks are the engines that are expected to be asked for a report.
+	Asks []string `json:"asks"`
+	// Ready are the engines that are expected to run requests for the model.
+	Ready []string `json:"ready"`
 	// ReadyMS is the expected wait of a request for the model.
 	ReadyMS *int64 `json:"ready_ms"`
 }
@@ -153,6 +157,24 @@
 			world.Answered(given[step.Engine], results[step.Result], now)
 		case "gone":
 			world.Gone(id)
+		case "doubt":
+			world.Doubt(id, now)
+		case "silent":
+			world.Silent(id, now)
+		}
+		if step.Asks != nil {
+			asked := []string{}
+			for _, engine := range world.Asks(now) {
+				asked = append(asked, string(engine.ID))
+			}
+			Expect(asked).To(ConsistOf(step.Asks), "step %d", i)
+		}
+		if step.Ready != nil {
+			ready := []string{}
+			for _, engine := range world.Ready(cardamom.ModelID(step.Model), step.Adapter, now) {
+				ready = append(ready, string(engine.ID))
+			}
+			Expect(ready).To(ConsistOf(step.Ready), "step %d", i)
 		}
 		if step.Moves == nil && step.Number == nil && step.ReadyMS == nil {
 			continue
--- a/plan/room.go
+++ b/plan/room.go
@@ -137,7 +137,7 @@
 	var drop site.Order
 	least := math.Inf(1)
 	for _, e := range w.sorted() {
-		if _, ok := e.usable().Held[key.model]; !ok || e.State != cardamom.Live {
+		if _, ok := e.usable().Held[key.model]; !ok || !e.live() {
 			continue
 		}
 		if e.Holds(key.model, key.adapter) {
--- a/plan/world.go
+++ b/plan/world.go
@@ -81,9 +81,13 @@
 	loaded  map[cardamom.ModelID]time.Time
 	rest    time.Time
 	unsure  bool
+	doubt   doubt
 	changed uint64
 }
 
+// live tells whether orders and requests may go to the engine.
+func (e *engine) live() bool { return e.State == cardamom.Live && !e.doubt.down }
+
 // World is the engines of one service and the demand for their models.
 type World struct {
 	spec    *site.Engine
@@ -181,7 +185,11 @@
 // Report takes an engine's answer about its state.
 func (w *World) Report(id cardamom.UpstreamID, report site.Report, now time.Time) {
 	e, ok := w.engines[id]
-	if !ok || report.Orders < e.orders {
+	if !ok {
+		return
+	}
+	w.trust(e)
+	if report.Orders < e.orders {
 		return
 	}
 	held := make(map[cardamom.ModelID][]string, len(report.Held))
@@ -280,6 +288,10 @@
 // usable returns the engine without what its pending order takes away.
 func (e *engine) usable() *site.Upstream {
 	view := e.Upstream
+	if e.doubt.down {
+		view.Held = nil
+		return &view
+	}
 	if p := e.pending; p != nil && p.order.Kind == site.Unload {
 		view.Held = make(map[cardamom.ModelID][]string, len(e.Held))
 		for model, adapters := range e.Held {
@@ -296,7 +308,7 @@
 	var list []*site.Upstream
 	for _, e := range w.sorted() {
 		view := e.usable()
-		if view.State == cardamom.Live && view.Holds(model, adapter) && !now.Before(e.ready[string(model)+"/"+adapter]) {
+		if e.live() && !e.doubt.asking && view.Holds(model, adapter) && !now.Before(e.ready[string(model)+"/"+adapter]) {
 			list = append(list, view)
 		}
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -54,9 +54,11 @@
 	unsent   int
 	rejected int
 	tried    map[cardamom.UpstreamID]bool
-	last     cardamom.UpstreamID
-	waited   time.Duration
-	wait     *pace.Wait
+	// vouched means that the coordinator has reached what this instance could not.
+	vouched bool
+	last    cardamom.UpstreamID
+	waited  time.Duration
+	wait    *pace.Wait
 	// first is the time from the arrival to the first event passed on.
 	first time.Duration
 	// started means that the response's header has gone to the caller.
@@ -164,6 +166,7 @@
 	x.server.Pool.Drop(upstream.Address)
 	x.exclude(upstream.ID)
 	x.unsent++
+	x.vouched = false
 	x.log.Info("not_sent", "request", x.ask.ID, "upstream", upstream.ID, "age_ms", x.age(now), "unsent", x.unsent, "reason", err)
 	if x.unsent < maxUnsent {
 		return true
--- a/relay/find.go
+++ b/relay/find.go
@@ -29,6 +29,9 @@
 	plainQueue = 2
 	// answerMargin is kept of a caller's patience for the first event itself.
 	answerMargin = 250 * time.Millisecond
+	// doubtWait is how long a request waits for another engine before the one
+	// that could not be reached is tried again, if it may be by then.
+	doubtWait = 400 * time.Millisecond
 )
 
 // places remembers what upstreams said they lack, and wakes requests that wait
@@ -91,6 +94,8 @@
 	_, needsModel := x.engine()
 	// again are those that were tried; they are better than none.
 	var candidates, again []pick.Candidate
+	// doubted hold the model and can't be reached from here.
+	var doubted []cardamom.UpstreamID
 	listed, slow := 0, 0
 	for _, upstream := range view.Upstreams(x.service) {
 		if upstream.State != cardamom.Live {
@@ -100,6 +105,11 @@
 		if needsModel && (!upstream.Holds(x.ask.Model, x.ask.Adapter) || s.places.lacks(upstream, x.ask, now)) {
 			continue
 		}
+		suspended := s.Health.Suspended(upstream.ID, now)
+		if suspended && needsModel && !x.vouched {
+			doubted = append(doubted, upstream.ID)
+			continue
+		}
 		others := view.Others(upstream.ID)
 		var expected time.Duration
 		if needsModel {
@@ -117,7 +127,7 @@
 		candidate := pick.Candidate{
 			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: limit,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
-			Suspended: s.Health.Suspended(upstream.ID, now), Near: upstream.DataCentre == s.DataCentre,
+			Suspended: suspended, Near: upstream.DataCentre == s.DataCentre,
 			Expected: expected,
 		}
 		if x.tried[upstream.ID] {
@@ -139,12 +149,12 @@
 		x.giveUp("upstreams_slow")
 		return nil, nil, false
 	}
-	x.pend(needsModel, len(candidates), listed)
+	x.pend(needsModel, doubted, len(candidates), listed)
 	return nil, nil, false
 }
 
 // pend waits for a model or for a place, or ends the request.
-func (x *exchange) pend(needsModel bool, full, listed int) {
+func (x *exchange) pend(needsModel bool, doubted []cardamom.UpstreamID, full, listed int) {
 	began := time.Now()
 	defer func() {
 		if x.waited >= 0 {
@@ -156,7 +166,7 @@
 	case full > 0:
 		x.awaitPlace(began)
 	case needsModel && (x.runs == 0 || x.route.Repeatable()):
-		x.awaitModel()
+		x.awaitModel(doubted)
 	case listed == 0 && time.Since(x.arrived) < soonWait:
 		x.sleep(recheck)
 	default:
@@ -213,8 +223,9 @@
 }
 
 // awaitModel waits until the model is loaded, or refuses the request if it will
-// come too late.
-func (x *exchange) awaitModel() {
+// come too late. The doubted upstreams hold the model and could not be reached:
+// the coordinator asks them, and loads the model elsewhere if they are down.
+func (x *exchange) awaitModel(doubted []cardamom.UpstreamID) {
 	s := x.server
 	if engine, ok := x.engine(); ok {
 		if _, known := engine.Models[x.ask.Model]; !known {
@@ -230,19 +241,28 @@
 		return
 	}
 	s.Demand.Waiting(x.key, 1)
-	ctx, cancel := context.WithCancel(x.ctx)
+	longest := left
+	if len(doubted) > 0 {
+		longest = doubtWait
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, longest)
 	stop := context.AfterFunc(s.Closing, cancel)
-	verdict := s.Desk.Wait(ctx, await.Key{Service: x.service, Model: x.ask.Model, Adapter: x.ask.Adapter}, left)
+	verdict := s.Desk.Wait(ctx, await.Key{Service: x.service, Model: x.ask.Model, Adapter: x.ask.Adapter}, left, doubted...)
 	stop()
 	cancel()
 	s.Demand.Waiting(x.key, -1)
 	if verdict.Ready {
+		x.vouched = true
 		return
 	}
 	if x.over() {
 		x.stopWaiting()
 		return
 	}
+	if len(doubted) > 0 && !verdict.Expected {
+		x.sleep(recheck)
+		return
+	}
 	x.stopWaiting()
 	if x.runs > 0 {
 		x.giveUp("model_late")
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -68,9 +68,14 @@
 // asker answers all needs alike.
 type asker struct {
 	prospect coord.Prospect
+	doubts   chan []cardamom.UpstreamID
 }
 
 func (a asker) Await(ctx context.Context, need coord.Need) coord.Prospect {
+	select {
+	case a.doubts <- need.Doubts:
+	default:
+	}
 	if need.Hold > 0 {
 		<-time.After(min(need.Hold, 20*time.Millisecond))
 	}
@@ -80,12 +85,14 @@
 // world is a relay before two upstreams that share a script of behaviours.
 type world struct {
 	engines []*host.Engine
+	// doubts are those of the first call for a model.
+	doubts  chan []cardamom.UpstreamID
 	front   *httptest.Server
 	closing context.CancelFunc
 }
 
 func newWorld(prospect coord.Prospect, names ...string) *world {
-	w := &world{}
+	w := &world{doubts: make(chan []cardamom.UpstreamID, 1)}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -114,7 +121,7 @@
 	w.closing = closeNow
 	DeferCleanup(closeNow)
 	server := relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Desk: await.New(asker{prospect}),
+		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Desk: await.New(asker{prospect, w.doubts}),
 		Pool: conns.New(nil), Demand: demand.New(), Health: health.New(), Pace: pace.New(),
 		Budget: retry.New(retry.Limits{Ratio: 1, Window: 10 * time.Second, Slack: 100}), Ledger: poison.New(), Counts: tally.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
@@ -225,6 +232,32 @@
 		Expect(w.runs()).To(BeEmpty())
 	})
 
+	It("doubts the only engine with the model when it can not be reached, and refuses with the time of the load elsewhere", func() {
+		w := newWorld(coord.Prospect{Known: true, Expected: 6 * time.Second})
+		for _, engine := range w.engines {
+			engine.Close()
+		}
+		response, err := http.DefaultClient.Do(w.ask("/stream/x", "m", nil))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).To(HavePrefix("6."))
+		Expect(w.doubts).To(Receive(Equal([]cardamom.UpstreamID{"i-1-models"})))
+	})
+
+	It("tries a doubted engine again once the coordinator vouches for it", func() {
+		w := newWorld(coord.Prospect{Known: true, Ready: true})
+		for _, engine := range w.engines {
+			engine.Close()
+		}
+		response, err := http.DefaultClient.Do(w.ask("/stream/x", "m", nil))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).To(HavePrefix("0."))
+		Expect(w.doubts).To(Receive(Not(BeEmpty())))
+	})
+
 	It("refuses what waits for a model when the instance closes", func() {
 		w := newWorld(coord.Prospect{Known: true, Expected: time.Second})
 		status := make(chan int, 1)
