Wait for the busy engine that has a model on disk, not for the store

Cause: a wanted model was loaded from the store (6 to 7 s, its requests refused) whenever the engines that have it on disk were busy for a second.

--- a/coord/orders.go
+++ b/coord/orders.go
@@ -22,7 +22,7 @@
 	go func() {
 		result := l.options.Engines.Send(l.ctx, move.Upstream, order)
 		l.logger.Info("order_given", "order", order.Kind, "model", order.Model, "adapter", order.Adapter, "upstream", move.Upstream.ID,
-			"reason", move.Reason, "expect", order.Expect, "fence", number, "outcome", resultNames[result])
+			"reason", move.Reason, "purpose", move.Purpose, "source", move.Source, "at_hand", move.AtHand, "expect", order.Expect, "fence", number, "outcome", resultNames[result])
 		l.post(func(now time.Time) {
 			t := l.tenure
 			if t == nil || t.number != number {
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -34,6 +34,10 @@
 	// roomTime is how long an engine keeps the purpose for which it drops a
 	// model: the drop waits for the model's requests.
 	roomTime = 8 * time.Second
+	// leastBusy is the least time until a busy engine is free: an order's end is
+	// seen by a report. turnTime is what a model's drop takes before a load.
+	leastBusy = 100 * time.Millisecond
+	turnTime  = 400 * time.Millisecond
 )
 
 // origin is where an engine loads a model from.
@@ -45,6 +49,9 @@
 	fromStore
 )
 
+// sourceNames are the origins in logs.
+var sourceNames = map[origin]string{fromMemory: "memory", fromDisk: "disk", fromStore: "store"}
+
 func (w *World) source(e *engine, model cardamom.ModelID) origin {
 	switch {
 	case e.InMemory[model]:
@@ -121,6 +128,7 @@
 		}
 	}
 	for _, e := range w.sorted() {
+		e.claimed = 0
 		give(w.followUp(e, now))
 	}
 	for _, key := range w.dueWants(now) {
@@ -179,7 +187,13 @@
 		order = site.Order{Kind: site.Unload, Model: drop, Expect: e.orders}
 		e.purpose, e.within = model, now.Add(roomTime)
 	}
-	return Move{Upstream: e.Upstream.Upstream, Order: order, Reason: reason}
+	move := Move{Upstream: e.Upstream.Upstream, Order: order, Reason: reason, Purpose: model, Source: sourceNames[w.source(e, model)]}
+	for _, other := range w.engines {
+		if other.live() && w.source(other, model) != fromStore {
+			move.AtHand++
+		}
+	}
+	return move
 }
 
 // dueWants returns what requests wait for, the most waited for first, and
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -20,6 +20,12 @@
 	Order    site.Order
 	// Reason says in a word why the order is given.
 	Reason string
+	// Purpose is the model that is loaded now or once room is made for it,
+	// Source says where from, and AtHand on how many engines it is in memory or
+	// on disk.
+	Purpose cardamom.ModelID
+	Source  string
+	AtHand  int
 }
 
 // Sent takes that an order is on its way.
--- a/plan/room.go
+++ b/plan/room.go
@@ -20,26 +20,48 @@
 	var drop cardamom.ModelID
 	least := math.Inf(1)
 	for _, e := range w.sorted() {
-		if !e.free(now) || e.purpose != "" || e.willHold(model) {
+		if !e.live() || e.doubt.asking || e.willHold(model) {
 			continue
 		}
-		if w.source(e, model) == fromStore && !w.mayStore(now) {
+		busy := w.busyFor(e, now)
+		if w.source(e, model) == fromStore && (busy > 0 || !w.mayStore(now)) {
 			continue
 		}
 		victim, loss, fits := w.room(e, spec, reason, now)
-		if !fits {
+		if !fits && busy == 0 {
 			continue
 		}
-		if cost := w.loadTime(e, model).Seconds() + loss + crowding*w.crowd(e, model, now); cost < least {
+		if cost := busy.Seconds() + w.loadTime(e, model).Seconds() + loss + crowding*w.crowd(e, model, now); cost < least {
 			best, drop, least = e, victim, cost
 		}
 	}
 	if best == nil {
 		return Move{}, false
 	}
+	if !best.free(now) || best.purpose != "" {
+		// Sooner than a load elsewhere: the model waits for the engine.
+		best.claimed += w.loadTime(best, model) + turnTime
+		return Move{}, false
+	}
 	return w.step(best, model, drop, reason, now), true
 }
 
+// busyFor returns how long it takes until the engine can be given an order for
+// another model, 0 if it can now. It counts what this pass already left to it.
+func (w *World) busyFor(e *engine, now time.Time) time.Duration {
+	if e.free(now) && e.purpose == "" {
+		return 0
+	}
+	busy := e.claimed + max(e.rest.Sub(now), leastBusy)
+	if p := e.pending; p != nil {
+		busy += max(p.ready.Sub(now), 0)
+	}
+	if e.purpose != "" && !e.willHold(e.purpose) {
+		busy += w.loadTime(e, e.purpose)
+	}
+	return busy
+}
+
 // room returns whether an engine has or can make room for a model: the model to
 // drop next, if any, and what its loss costs in seconds of waiting.
 func (w *World) room(e *engine, spec site.Model, reason string, now time.Time) (cardamom.ModelID, float64, bool) {
--- a/plan/world.go
+++ b/plan/world.go
@@ -82,6 +82,8 @@
 	rest    time.Time
 	unsure  bool
 	doubt   doubt
+	// claimed is how long the engine will be busy with models that wait for it.
+	claimed time.Duration
 	changed uint64
 }
 
