--- a/plan/world.go
+++ b/plan/world.go
@@ -76,12 +76,12 @@
 	purpose cardamom.ModelID
 	within  time.Time
 	// ready has when adapters that were just ordered can be used.
-	ready   map[string]time.Time
-	used    map[string]time.Time
-	loaded  map[cardamom.ModelID]time.Time
-	rest    time.Time
-	unsure  bool
-	doubt   doubt
+	ready  map[string]time.Time
+	used   map[string]time.Time
+	loaded map[cardamom.ModelID]time.Time
+	rest   time.Time
+	unsure bool
+	doubt  doubt
 	// claimed is how long the engine will be busy with models that wait for it.
 	claimed time.Duration
 	changed uint64
