Close the list of log words, with one test over all call sites

The test found that stream_broken wrote its last event under the key 'event', so that cardctl explain showed it under a number; it is last_event now. A fingerprint is written alike everywhere, and requests_cut had two names. docs/LOGS.md is made from the list.

--- a/entry/blame.go
+++ b/entry/blame.go
@@ -42,7 +42,7 @@
 			return
 		}
 	}
-	s.options.Logger.Warn("upstream_died", "upstream", replica.Upstream, "model", j.model.ID(), "fingerprint", fmt.Sprintf("%016x", uint64(j.fingerprint)))
+	s.options.Logger.Warn("upstream_died", "upstream", replica.Upstream, "model", j.model.ID(), "fingerprint", j.fingerprint)
 	s.options.Ledger.Blame(j.fingerprint, death, time.Now())
 }
 
--- /dev/null
+++ b/logs/words_test.go
@@ -0,0 +1,181 @@
+package logs_test
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cardamomcourse.example/cardamom/logs"
+)
+
+// update writes docs/LOGS.md anew.
+var update = flag.Bool("update", false, "record golden files anew")
+
+// root is the repository seen from this package, page its list of words.
+const (
+	root = ".."
+	page = root + "/docs/LOGS.md"
+)
+
+// loggerName matches what loggers are called, levels are their methods.
+var (
+	loggerName = regexp.MustCompile(`(?i)^(log|logger)$`)
+	levels     = []string{"Trace", "Debug", "Info", "Warn", "Error"}
+)
+
+// words are what the calls of one file use, with where.
+type words struct {
+	events, fields, faults map[string]string
+}
+
+// collect adds the words of all calls in a Go file.
+func (w *words) collect(path string, source any) error {
+	set := token.NewFileSet()
+	file, err := parser.ParseFile(set, path, source, 0)
+	if err != nil {
+		return err
+	}
+	literal := func(expression ast.Expr) (string, bool) {
+		basic, ok := expression.(*ast.BasicLit)
+		if !ok {
+			return "", false
+		}
+		text, err := strconv.Unquote(basic.Value)
+		return text, err == nil
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		call, ok := node.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok || !loggerName.MatchString(lastName(method.X)) {
+			return true
+		}
+		where := set.Position(call.Pos()).String()
+		pairs := call.Args
+		switch {
+		case slices.Contains(levels, method.Sel.Name):
+			event, ok := literal(call.Args[0])
+			if !ok {
+				w.faults[where] = "the event is not a literal"
+				return true
+			}
+			w.events[event] = where
+			pairs = pairs[1:]
+		case method.Sel.Name != "With":
+			return true
+		}
+		if len(pairs)%2 != 0 || call.Ellipsis.IsValid() {
+			w.faults[where] = "keys and values are not in pairs"
+			return true
+		}
+		for i := 0; i < len(pairs); i += 2 {
+			if key, ok := literal(pairs[i]); ok {
+				w.fields[key] = where
+			} else {
+				w.faults[where] = "a key is not a literal"
+			}
+		}
+		return true
+	})
+	return nil
+}
+
+// lastName returns the last name of a chain of selectors.
+func lastName(expression ast.Expr) string {
+	switch x := expression.(type) {
+	case *ast.Ident:
+		return x.Name
+	case *ast.SelectorExpr:
+		return x.Sel.Name
+	default:
+		return ""
+	}
+}
+
+func newWords() *words {
+	return &words{events: make(map[string]string), fields: make(map[string]string), faults: make(map[string]string)}
+}
+
+// unlisted returns those words that are not in the list.
+func unlisted(used, list map[string]string) []string {
+	var missing []string
+	for word, where := range used {
+		if _, ok := list[word]; !ok {
+			missing = append(missing, word+" at "+where)
+		}
+	}
+	return missing
+}
+
+var _ = Describe("the words of log lines", func() {
+	It("are a closed list, and all of them are used", func() {
+		used := newWords()
+		Expect(filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			generated := strings.HasSuffix(path, ".pb.go") || strings.HasSuffix(path, ".twirp.go")
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || generated {
+				return err
+			}
+			return used.collect(path, nil)
+		})).To(Succeed())
+		Expect(used.faults).To(BeEmpty())
+		Expect(unlisted(used.events, logs.Events)).To(BeEmpty())
+		Expect(unlisted(used.fields, logs.Fields)).To(BeEmpty())
+		// The bounded writer makes this line itself.
+		used.events["lines_dropped"], used.fields["count"] = "", ""
+		Expect(unlisted(logs.Events, used.events)).To(BeEmpty())
+		Expect(unlisted(logs.Fields, used.fields)).To(BeEmpty())
+	})
+
+	DescribeTable("are found in", func(call string, events, fields, faults int) {
+		found := newWords()
+		Expect(found.collect("x.go", "package x\nfunc f() { "+call+" }")).To(Succeed())
+		Expect(found.events).To(HaveLen(events))
+		Expect(found.fields).To(HaveLen(fields))
+		Expect(found.faults).To(HaveLen(faults))
+	},
+		Entry("a call", `logger.Info("a", "b", 1, "c", 2)`, 1, 2, 0),
+		Entry("a call of a part", `x.options.Logger.Warn("a", "b", 1)`, 1, 1, 0),
+		Entry("fixed pairs", `x.log.With("b", 1)`, 0, 1, 0),
+		Entry("no call of something else", `x.store.Info("a", "b", 1)`, 0, 0, 0),
+		Entry("an event that is made", `logger.Info(name, "b", 1)`, 0, 0, 1),
+		Entry("a key that is made", `logger.Info("a", name, 1)`, 1, 0, 1),
+		Entry("a key without a value", `logger.Info("a", "b")`, 1, 0, 1),
+		Entry("pairs that are made", `logger.Info("a", pairs...)`, 1, 0, 1),
+	)
+
+	It("stand in docs/LOGS.md", func() {
+		var text strings.Builder
+		text.WriteString("# Words of the log lines\n\nMade from logs/words.go by `go test ./logs -update`. A line is a list of\n")
+		text.WriteString("key=value pairs; `time`, `level`, `logger` and `event` come first.\n")
+		for _, part := range []struct {
+			title, column string
+			list          map[string]string
+		}{{"Events", "event", logs.Events}, {"Fields", "field", logs.Fields}} {
+			fmt.Fprintf(&text, "\n## %s\n\n| %s | says |\n| --- | --- |\n", part.title, part.column)
+			for _, word := range slices.Sorted(maps.Keys(part.list)) {
+				fmt.Fprintf(&text, "| `%s` | %s |\n", word, part.list[word])
+			}
+		}
+		if *update {
+			Expect(os.WriteFile(page, []byte(text.String()), 0o600)).To(Succeed())
+		}
+		known, err := os.ReadFile(page)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(known)).To(Equal(text.String()))
+	})
+})
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 	defer cancelDrain()
 	if err := n.callers.Shutdown(drainCtx); err != nil {
 		waiting, running := n.desk.Waiting()
-		n.logger.Warn("requests_cut_off", "waiting", waiting, "running", running)
+		n.logger.Warn("requests_cut", "waiting", waiting, "running", running)
 		_ = n.callers.Close()
 	}
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -13,6 +13,7 @@
 package poison
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 // Fingerprint identifies a request's model and body.
 type Fingerprint uint64
 
+// String returns the fingerprint as logs show it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Verdict is what is known of a fingerprint.
 type Verdict uint8
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -241,7 +241,7 @@
 func (x *exchange) blame(upstream *site.Upstream) {
 	if x.ctx.Err() == nil && !conns.Reachable(x.ctx, upstream.Address) {
 		x.server.Ledger.Blame(x.fingerprint, string(upstream.ID)+"/"+time.UnixMilli(upstream.Born).UTC().Format(time.RFC3339Nano), time.Now())
-		x.log.Warn("upstream_died", "request", x.ask.ID, "upstream", upstream.ID, "fingerprint", uint64(x.fingerprint))
+		x.log.Warn("upstream_died", "request", x.ask.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint)
 	}
 }
 
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -178,7 +178,7 @@
 	x.server.Demand.Failed(upstream.ID)
 	x.exclude(upstream.ID)
 	x.blame(upstream)
-	x.log.Info("stream_broken", "request", x.ask.ID, "upstream", upstream.ID, "event", x.event, "age_ms", x.age(now), "runs", x.runs, "reason", err)
+	x.log.Info("stream_broken", "request", x.ask.ID, "upstream", upstream.ID, "last_event", x.event, "age_ms", x.age(now), "runs", x.runs, "reason", err)
 	if x.route.Resumable && x.runs < x.route.Attempts {
 		return true
 	}
