--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -217,7 +217,7 @@
 			l.ask(name, upstream)
 		}
 		for _, done := range w.Done() {
-			l.logger.Info("order_done", "order", done.Order.Kind, "model", done.Order.Model, "upstream", done.Upstream, "fence", t.number, "took_ms", done.Took.Milliseconds())
+			l.logger.Info("order_done", "order", done.Order.Kind, "model", done.Order.Model, "upstream", done.Upstream, "fence", t.number, "took_ms", done.Took.Milliseconds(), "expected_ms", done.Expected.Milliseconds())
 		}
 		t.publishWorld(w)
 	}
--- a/logs/words.go
+++ b/logs/words.go
@@ -86,6 +86,7 @@
 	"error":       "error as it was returned",
 	"expect":      "number of orders that the engine is expected to have accepted",
 	"expected":    "row version that was expected",
+	"expected_ms": "time that it was expected to take, in milliseconds",
 	"failures":    "failed calls before the one that was answered",
 	"fence":       "coordinator's number; a greater one is newer",
 	"fingerprint": "hash of a request's content, in hexadecimal",
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -129,6 +129,7 @@
 	}
 	for _, e := range w.sorted() {
 		e.claimed = 0
+		w.presume(e, now)
 		give(w.followUp(e, now))
 	}
 	for _, key := range w.dueWants(now) {
@@ -167,6 +168,9 @@
 		w.copyCounts = nil
 		return Move{}, false
 	}
+	if e.pending != nil {
+		return w.hasten(e, spec, now)
+	}
 	if !e.free(now) || (w.source(e, e.purpose) == fromStore && !w.withinRate(now)) {
 		return Move{}, false
 	}
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -36,6 +36,9 @@
 	}
 	p := &pending{order: m.Order, began: now, sent: now, doubt: true, asked: now}
 	p.ready = now
+	if e.pending != nil {
+		w.presumeDrop(e, p)
+	}
 	if m.Order.Kind == site.Load && m.Order.Adapter == "" {
 		p.ready = now.Add(w.loadTime(e, m.Order.Model))
 		p.stored = w.source(e, m.Order.Model) == fromStore
@@ -61,6 +64,8 @@
 		if result == site.OrderAccepted || m.Order.Adapter != "" {
 			e.orders = max(e.orders, m.Order.Expect+1)
 		}
+		p.accepted = now
+		w.finishDrop(e, p, now)
 		switch {
 		case m.Order.Adapter != "":
 			w.setAdapter(e, m.Order, now)
@@ -80,6 +85,10 @@
 		// Nothing may be concluded from another holder's engine.
 		e.rest = now.Add(failureRest)
 	default:
+		if p.after != nil {
+			w.resumeDrop(e, p, now)
+			return
+		}
 		w.drop(e, now)
 	}
 }
@@ -171,6 +180,9 @@
 		if !e.live() {
 			continue
 		}
+		if e.purpose == model && e.pending != nil {
+			consider(w.dropIn(e.pending, now) + w.loadTime(e, model) + presumeAfter)
+		}
 		switch view := e.usable(); {
 		case view.Holds(model, adapter):
 			consider(e.ready[string(model)+"/"+adapter].Sub(now))
@@ -178,7 +190,7 @@
 			consider(adapterTime)
 		}
 		if p := e.pending; p != nil && p.order.Kind == site.Load && p.order.Model == model && p.order.Adapter == "" {
-			consider(p.ready.Sub(now))
+			consider(p.ready.Add(presumeAfter).Sub(now))
 		}
 	}
 	if known {
--- a/plan/world.go
+++ b/plan/world.go
@@ -63,6 +63,21 @@
 	asked  time.Time
 	doubt  bool
 	stored bool
+	// accepted is when the engine took the order.
+	accepted time.Time
+	// after is the drop that has to be done for the engine to take this load,
+	// dropped the adapters that it drops, and tried tells that a load was turned
+	// down since it was not.
+	after   *pending
+	dropped []string
+	tried   bool
+	// presumed means that a load's time is over, though no report shows it yet.
+	presumed bool
+}
+
+// drops tells whether the order takes a model away.
+func (p *pending) drops(model cardamom.ModelID) bool {
+	return p.order.Kind == site.Unload && p.order.Adapter == "" && p.order.Model == model || p.after != nil && p.after.drops(model)
 }
 
 // engine is one model engine.
@@ -118,6 +133,8 @@
 	Upstream cardamom.UpstreamID
 	Order    site.Order
 	Took     time.Duration
+	// Expected is how long it was expected to take when it was accepted.
+	Expected time.Duration
 }
 
 // Done returns the orders that were carried out since the last call.
@@ -204,8 +221,9 @@
 		e.rest = now.Add(foreignAsk)
 	}
 	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
-	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > settleTime {
-		e.pending, w.copyCounts = nil, nil
+	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > p.settle() {
+		e.pending = nil
+		w.touch(e)
 	}
 }
 
@@ -239,7 +257,7 @@
 		if p.stored {
 			w.learn(p, now)
 		}
-		w.done = append(w.done, Done{Upstream: e.ID, Order: p.order, Took: now.Sub(p.began)})
+		w.done = append(w.done, Done{Upstream: e.ID, Order: p.order, Took: now.Sub(p.began), Expected: p.ready.Sub(p.began)})
 		e.pending = nil
 		w.touch(e)
 	}
@@ -287,19 +305,25 @@
 	return list
 }
 
-// usable returns the engine without what its pending order takes away.
+// usable returns the engine with what its pending order has brought, and
+// without what that takes away.
 func (e *engine) usable() *site.Upstream {
 	view := e.Upstream
 	if e.doubt.down {
 		view.Held = nil
 		return &view
 	}
-	if p := e.pending; p != nil && p.order.Kind == site.Unload {
-		view.Held = make(map[cardamom.ModelID][]string, len(e.Held))
-		for model, adapters := range e.Held {
-			if model != p.order.Model {
-				view.Held[model] = adapters
-			}
+	p := e.pending
+	if p == nil {
+		return &view
+	}
+	view.Held = make(map[cardamom.ModelID][]string, len(e.Held)+1)
+	if p.presumed {
+		view.Held[p.order.Model] = nil
+	}
+	for model, adapters := range e.Held {
+		if !p.drops(model) {
+			view.Held[model] = adapters
 		}
 	}
 	return &view
