--- a/plan/haste.go
+++ b/plan/haste.go
@@ -14,8 +14,12 @@
 
 const (
 	// dropTime is how long after an accepted drop of an unused model the load
-	// behind it is ordered.
-	dropTime = 20 * time.Millisecond
+	// behind it is ordered: on both deployments such drops took 50 ms.
+	dropTime = 50 * time.Millisecond
+	// tryEvery is the time between two tries of that load, mostTries how many are
+	// made until reports are waited for.
+	tryEvery  = 30 * time.Millisecond
+	mostTries = 8
 	// presumeAfter is how long after its expected end a load is taken to be done.
 	presumeAfter = 20 * time.Millisecond
 	// presumeSettle is how long after that a report must show it.
@@ -49,8 +53,8 @@
 func (w *World) hasten(e *engine, spec site.Model, now time.Time) (Move, bool) {
 	p := e.pending
 	drop := p.order
-	if drop.Kind != site.Unload || drop.Adapter != "" || p.doubt || p.tried || e.unsure || e.doubt.asking || now.Before(e.rest) ||
-		now.Sub(p.accepted) < dropTime || w.use(drop.Model).running > 0 {
+	if drop.Kind != site.Unload || drop.Adapter != "" || p.doubt || p.tries > mostTries || e.unsure || e.doubt.asking || now.Before(e.rest) ||
+		now.Sub(p.accepted) < dropTime || now.Sub(p.tried) < tryEvery || w.use(drop.Model).running > 0 {
 		return Move{}, false
 	}
 	if w.source(e, spec.Name) == fromStore && !w.withinRate(now) {
@@ -88,7 +92,8 @@
 	drop := load.after
 	e.Held = maps.Clone(e.Held)
 	e.Held[drop.order.Model] = drop.dropped
-	drop.tried, drop.ready = true, now.Add(askEvery)
+	drop.tried, drop.ready = now, now.Add(askEvery)
+	drop.tries++
 	e.pending, e.purpose, e.within = drop, load.order.Model, now.Add(roomTime)
 	w.touch(e)
 }
@@ -99,7 +104,7 @@
 	if p.accepted.IsZero() {
 		done = p.sent.Add(dropTime)
 	}
-	if w.use(p.order.Model).running > 0 || p.tried {
+	if w.use(p.order.Model).running > 0 || p.tries > mostTries {
 		done = p.sent.Add(time.Duration(drainTime * float64(time.Second)))
 	}
 	return max(done.Sub(now), 0)
--- a/plan/world.go
+++ b/plan/world.go
@@ -66,11 +66,12 @@
 	// accepted is when the engine took the order.
 	accepted time.Time
 	// after is the drop that has to be done for the engine to take this load,
-	// dropped the adapters that it drops, and tried tells that a load was turned
-	// down since it was not.
+	// dropped the adapters that it drops. Loads were turned down tries times
+	// since it was not, the last time when tried says.
 	after   *pending
 	dropped []string
-	tried   bool
+	tried   time.Time
+	tries   int
 	// presumed means that a load's time is over, though no report shows it yet.
 	presumed bool
 }
