Load from the store one at a time until it is known to take more

A new coordinator began three more beside its predecessor's loads. Loads begin one at a time; one more is tried after each that had its full speed, and a load slowed down shows the bound (slow engines alone make 1.3 times).

The soak's checks: a refusal after a run is false for every kind of route, and an answer names its request.

--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -83,7 +83,8 @@
 	case http.StatusOK:
 		s.checkWhole(id, e)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if once && runs > 0 {
+		// It says that the request has not run, whatever may be repeated.
+		if runs > 0 {
 			s.note(fmt.Sprintf("%s (%s) got %d, but ran", id, e.kind, e.got.Status))
 		}
 	case http.StatusNotFound:
@@ -98,6 +99,8 @@
 		expected = wholeStream
 	}
 	switch {
+	case e.got.ID != id:
+		s.note(fmt.Sprintf("%s got the answer to %q", id, e.got.ID))
 	case !e.got.Sealed:
 		s.note(id + " got a success that no upstream signed")
 	case e.got.Whole && e.got.Body != expected:
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -10,6 +10,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/steady"
 	"cardamomcourse.example/cardamom/table"
 )
@@ -36,18 +37,35 @@
 	Address  string `json:"address"`
 	Released bool   `json:"released"`
 	Renewed  int64  `json:"renewed_ms"`
+	// AtOnce is how many loads from the store of a service's models run beside
+	// each other at full speed. It takes slow loads to find out, so it lasts.
+	AtOnce map[string]wireAtOnce `json:"at_once,omitempty"`
 }
 
-func decodeLease(row table.Row) lease.Row {
+type wireAtOnce struct {
+	Loads int  `json:"loads"`
+	Bound bool `json:"bound"`
+}
+
+func (l *Loop) decodeLease(row table.Row) lease.Row {
 	var wire wireLease
 	if row.Version() == 0 || json.Unmarshal(row.Value(), &wire) != nil {
 		return lease.Row{Version: row.Version(), Released: row.Version() != 0}
 	}
+	for service, atOnce := range wire.AtOnce {
+		if atOnce.Loads > 0 && l.tenure == nil {
+			l.picture.atOnce[cardamom.ServiceID(service)] = plan.AtOnce{Loads: atOnce.Loads, Bound: atOnce.Bound}
+		}
+	}
 	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed}
 }
 
-func encodeLease(row lease.Row) []byte {
-	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed})
+func (l *Loop) encodeLease(row lease.Row) []byte {
+	atOnce := make(map[string]wireAtOnce, len(l.picture.atOnce))
+	for service, known := range l.picture.atOnce {
+		atOnce[string(service)] = wireAtOnce{known.Loads, known.Bound}
+	}
+	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, AtOnce: atOnce})
 	if err != nil {
 		return nil
 	}
@@ -127,7 +145,7 @@
 			}
 			l.leaseFailures = 0
 			l.leaseSeen = now
-			l.observe(decodeLease(row), now)
+			l.observe(l.decodeLease(row), now)
 		})
 	}()
 }
@@ -143,7 +161,7 @@
 	expect := l.lease.Version()
 	began := steady.Now()
 	clock, _ := l.options.Clock(began)
-	value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Renewed: clock})
+	value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Renewed: clock})
 	go func() {
 		version, err := l.options.Table.Commit(l.ctx, table.Put(leaseKey, expect, value))
 		l.post(func(now time.Time) { l.leaseWritten(version, err, began, now) })
@@ -185,7 +203,7 @@
 			if err != nil {
 				return
 			}
-			found := decodeLease(row)
+			found := l.decodeLease(row)
 			if l.lease.Held() && found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
 				l.lease.Written(found.Version, l.options.Sync, began)
 				return
@@ -208,7 +226,7 @@
 		expect := l.lease.Version()
 		l.endTenure("leaving")
 		l.lease.Conflict()
-		value := encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Released: true})
+		value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.Sync, Released: true})
 		go func() {
 			_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
 			done <- err
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -9,6 +9,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/steady"
@@ -110,7 +111,7 @@
 func New(options Options) *Loop {
 	return &Loop{
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventRoom), board: newBoard(),
-		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), ledger: options.Ledger},
+		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), atOnce: make(map[cardamom.ServiceID]plan.AtOnce), ledger: options.Ledger},
 		lease:   lease.New(options.ID, options.Term), peers: newPeers(),
 	}
 }
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -143,6 +143,9 @@
 		return nil
 	}
 	w := &world{World: plan.New(service.Engine, t.loop.options.Profiles.For(name), t.fresh, now)}
+	if known, ok := t.loop.picture.atOnce[name]; ok {
+		w.Told(known)
+	}
 	t.worlds[name] = w
 	return w
 }
@@ -216,6 +219,10 @@
 		for _, upstream := range w.Asks(now) {
 			l.ask(name, upstream)
 		}
+		if atOnce := w.AtOnce(); l.picture.atOnce[name] != atOnce {
+			l.picture.atOnce[name] = atOnce
+			l.logger.Info("loads_at_once", "service", name, "count", atOnce.Loads, "bound", atOnce.Bound, "fence", t.number)
+		}
 		for _, done := range w.Done() {
 			l.logger.Info("order_done", "order", done.Order.Kind, "model", done.Order.Model, "upstream", done.Upstream, "fence", t.number, "took_ms", done.Took.Milliseconds(), "expected_ms", done.Expected.Milliseconds())
 		}
--- a/coord/view.go
+++ b/coord/view.go
@@ -18,6 +18,7 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -100,6 +101,9 @@
 	packed    []byte
 	upstreams map[cardamom.UpstreamID]*site.Upstream
 	others    map[cardamom.UpstreamID]Others
+	// atOnce is how many loads from the store run beside each other at full
+	// speed, as coordinators found out.
+	atOnce    map[cardamom.ServiceID]plan.AtOnce
 	members   []Member
 	learned   time.Time
 	confirmed time.Time
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -243,7 +243,9 @@
 	Status int
 	Body   string
 	Sealed bool
-	Later  time.Duration
+	// ID is the request that the response says it answers.
+	ID    string
+	Later time.Duration
 	// Whole means that the response did not break off.
 	Whole bool
 }
@@ -287,7 +289,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	got := Got{Status: response.StatusCode, Body: string(body), Sealed: response.Header.Get("Server-Seal") != "", Whole: err == nil}
+	got := Got{Status: response.StatusCode, Body: string(body), Sealed: response.Header.Get("Server-Seal") != "", Whole: err == nil, ID: response.Header.Get("Request-Id")}
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		got.Later = time.Duration(seconds * float64(time.Second))
 	}
--- a/logs/words_test.go
+++ b/logs/words_test.go
@@ -136,7 +136,7 @@
 		Expect(unlisted(used.events, logs.Events)).To(BeEmpty())
 		Expect(unlisted(used.fields, logs.Fields)).To(BeEmpty())
 		// The bounded writer makes this line itself.
-		used.events["lines_dropped"], used.fields["count"] = "", ""
+		used.events["lines_dropped"] = ""
 		Expect(unlisted(logs.Events, used.events)).To(BeEmpty())
 		Expect(unlisted(logs.Fields, used.fields)).To(BeEmpty())
 	})
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -29,8 +29,6 @@
 	// recentLoss what dropping it costs then in seconds.
 	recentUse  = 1500 * time.Millisecond
 	recentLoss = 0.5
-	// ceilingShare is the part of the store's rate that is used, in percent.
-	ceilingShare = 90
 	// roomTime is how long an engine keeps the purpose for which it drops a
 	// model: the drop waits for the model's requests.
 	roomTime = 8 * time.Second
@@ -72,42 +70,10 @@
 		return spec.FromDisk
 	default:
 		running := float64(w.storeLoads())
-		return time.Duration(float64(spec.FromStore) * max(1, (running+1)/max(w.atOnce, 1)))
+		return time.Duration(float64(spec.FromStore) * max(1, (running+1)/float64(w.weights.atOnce)))
 	}
 }
 
-// storeLoads returns how many loads from the store are in progress.
-func (w *World) storeLoads() int {
-	count := 0
-	for _, e := range w.engines {
-		if e.pending != nil && e.pending.stored || e.purpose != "" && w.source(e, e.purpose) == fromStore {
-			count++
-		}
-	}
-	return count
-}
-
-// mayStore tells whether another load from the store fits its rate.
-func (w *World) mayStore(now time.Time) bool {
-	return w.storeLoads() < int(w.atOnce) && w.withinRate(now)
-}
-
-// withinRate tells whether a load from the store may begin now.
-func (w *World) withinRate(now time.Time) bool {
-	if now.Before(w.since) {
-		return false
-	}
-	recent := w.loads[:0]
-	for _, at := range w.loads {
-		if now.Sub(at) < storeWindow {
-			recent = append(recent, at)
-		}
-	}
-	w.loads = recent
-	allowed := w.spec.StoreLoads * storeWindow.Seconds() * ceilingShare / 100
-	return float64(len(recent)) < max(allowed, 1)
-}
-
 // willHold tells whether the engine holds the model once its order is done.
 func (e *engine) willHold(model cardamom.ModelID) bool {
 	if p := e.pending; p != nil && p.order.Model == model && p.order.Adapter == "" {
--- a/plan/haste.go
+++ b/plan/haste.go
@@ -86,9 +86,7 @@
 
 // resumeDrop goes back to a drop that was not done yet.
 func (w *World) resumeDrop(e *engine, load *pending, now time.Time) {
-	if load.stored && len(w.loads) > 0 {
-		w.loads = w.loads[:len(w.loads)-1]
-	}
+	w.forgetLoad(load, now)
 	drop := load.after
 	e.Held = maps.Clone(e.Held)
 	e.Held[drop.order.Model] = drop.dropped
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -34,7 +34,8 @@
 	if !ok {
 		return
 	}
-	p := &pending{order: m.Order, began: now, sent: now, doubt: true, asked: now}
+	w.countBeside(now)
+	p := &pending{order: m.Order, began: now, sent: now, doubt: true, asked: now, counted: now}
 	p.ready = now
 	if e.pending != nil {
 		w.presumeDrop(e, p)
@@ -43,7 +44,7 @@
 		p.ready = now.Add(w.loadTime(e, m.Order.Model))
 		p.stored = w.source(e, m.Order.Model) == fromStore
 		if p.stored {
-			w.loads = append(w.loads, now)
+			w.weights.loads = append(w.weights.loads, now)
 		}
 	}
 	e.pending, e.ordered = p, now
@@ -95,9 +96,7 @@
 
 // drop forgets an order that the engine did not take.
 func (w *World) drop(e *engine, now time.Time) {
-	if e.pending.stored && len(w.loads) > 0 {
-		w.loads = w.loads[:len(w.loads)-1]
-	}
+	w.forgetLoad(e.pending, now)
 	e.pending = nil
 	e.unsure = true
 	e.rest = now.Add(failureRest)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -29,6 +29,9 @@
 	Models  map[string]int     `json:"models"`
 	Engines map[string]fixture `json:"engines"`
 	Steps   []step             `json:"steps"`
+	// AtOnce is how many loads beside each other the coordinator was told of.
+	AtOnce int  `json:"at_once"`
+	Bound  bool `json:"bound"`
 }
 
 // fixture is an engine at the start: what it holds and has on disk.
@@ -138,6 +141,9 @@
 		world.Update(upstream(id, f, 1), start)
 		world.Report(cardamom.UpstreamID(id), site.Report{Held: held(f.Held), OnDisk: set(append(f.Disk, f.Held...))}, start)
 	}
+	if s.AtOnce > 0 {
+		world.Told(plan.AtOnce{Loads: s.AtOnce, Bound: s.Bound})
+	}
 	given := make(map[string]plan.Move)
 	for i, step := range s.Steps {
 		now := start.Add(time.Duration(step.At) * time.Millisecond)
--- a/plan/world.go
+++ b/plan/world.go
@@ -42,8 +42,6 @@
 	settleTime = 6 * time.Second
 	// adapterTime is the usual time of an adapter's load.
 	adapterTime = 25 * time.Millisecond
-	// storeWindow is the time over which loads from the store are counted.
-	storeWindow = 5500 * time.Millisecond
 	// registrationLag is how much older than an order a registration may be
 	// that arrives after it: a heartbeat and the list's lag.
 	registrationLag = 3 * time.Second
@@ -63,6 +61,10 @@
 	asked  time.Time
 	doubt  bool
 	stored bool
+	// beside is the sum of the loads from the store that ran with this one, in
+	// seconds, up to counted.
+	beside  float64
+	counted time.Time
 	// accepted is when the engine took the order.
 	accepted time.Time
 	// after is the drop that has to be done for the engine to take this load,
@@ -97,7 +99,9 @@
 	loaded map[cardamom.ModelID]time.Time
 	rest   time.Time
 	unsure bool
-	doubt  doubt
+	// foreign means that the engine carries out an order of another coordinator.
+	foreign bool
+	doubt   doubt
 	// claimed is how long the engine will be busy with models that wait for it.
 	claimed time.Duration
 	changed uint64
@@ -113,9 +117,7 @@
 	engines map[cardamom.UpstreamID]*engine
 	uses    map[cardamom.ModelID]*use
 	wants   map[want]time.Time
-	loads   []time.Time
-	atOnce  float64
-	since   time.Time
+	weights weights
 	// swaps counts loads that requests waited for.
 	swaps use
 	// done has orders that were carried out and not yet told.
@@ -145,19 +147,15 @@
 	return done
 }
 
-// firstAtOnce is how many loads from the store run beside each other until
-// their times show what the store can do.
-const firstAtOnce = 3
-
 // New returns a world without engines. Loads from the store that others may
 // have started are counted for a window from now on unless fresh.
 func New(spec *site.Engine, profile Profile, fresh bool, now time.Time) *World {
 	w := &World{
 		spec: spec, profile: profile, engines: make(map[cardamom.UpstreamID]*engine), uses: make(map[cardamom.ModelID]*use),
-		wants: make(map[want]time.Time), atOnce: firstAtOnce,
+		wants: make(map[want]time.Time), weights: weights{atOnce: firstAtOnce},
 	}
 	if !fresh {
-		w.since = now.Add(storeWindow)
+		w.weights.since = now.Add(storeWindow)
 	}
 	return w
 }
@@ -218,11 +216,13 @@
 	}
 	// An order that is not known here, of an earlier holder, is being carried out.
 	e.unsure = report.Busy && e.pending == nil
+	e.foreign = e.unsure
 	if e.unsure {
 		e.rest = now.Add(foreignAsk)
 	}
 	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
 	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > p.settle() {
+		w.countBeside(now)
 		e.pending = nil
 		w.touch(e)
 	}
@@ -264,20 +264,6 @@
 	}
 }
 
-// learn adapts how many loads run beside each other to the time one took.
-func (w *World) learn(p *pending, now time.Time) {
-	model, ok := w.spec.Models[p.order.Model]
-	if !ok || model.FromStore == 0 {
-		return
-	}
-	switch took := now.Sub(p.sent).Seconds() / model.FromStore.Seconds(); {
-	case took > 1.35:
-		w.atOnce = max(w.atOnce-1, 1)
-	case took < 1.15:
-		w.atOnce = min(w.atOnce+0.5, 8)
-	}
-}
-
 // Gone takes that an engine is no longer listed.
 func (w *World) Gone(id cardamom.UpstreamID) {
 	if _, ok := w.engines[id]; ok {
