Load what is in demand first, and spread it before it is lost

Wants are ordered by what is asked for; a load longer than demand is remembered is not made for it; models in demand that one engine has get a spare copy, in one order of worth with models that no engine has.

--- a/plan/copies.go
+++ b/plan/copies.go
@@ -19,7 +19,7 @@
 // countCopies counts the copies of all models.
 func (w *World) countCopies() {
 	w.copyCounts = make(map[cardamom.ModelID]int, len(w.spec.Models))
-	w.atHands = make(map[cardamom.ModelID]bool, len(w.spec.Models))
+	w.atHands = make(map[cardamom.ModelID]int, len(w.spec.Models))
 	for _, e := range w.engines {
 		if !e.live() {
 			continue
@@ -38,10 +38,12 @@
 			w.copyCounts[e.purpose]++
 		}
 		for model := range e.OnDisk {
-			w.atHands[model] = true
+			w.atHands[model]++
 		}
 		for model := range e.InMemory {
-			w.atHands[model] = true
+			if !e.OnDisk[model] {
+				w.atHands[model]++
+			}
 		}
 	}
 	w.counted = w.changes
@@ -79,8 +81,8 @@
 	return w.profile.SecondCopyRate
 }
 
-// atHand tells whether some engine can load the model without the store.
-func (w *World) atHand(model cardamom.ModelID) bool {
+// atHand returns how many engines can load the model without the store.
+func (w *World) atHand(model cardamom.ModelID) int {
 	if w.counted != w.changes || w.copyCounts == nil {
 		w.countCopies()
 	}
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -32,6 +32,14 @@
 	// roomTime is how long an engine keeps the purpose for which it drops a
 	// model: the drop waits for the model's requests.
 	roomTime = 8 * time.Second
+	// needTime is the time for which the requests of a model count as waiting.
+	needTime = 2 * time.Second
+	// spareCopies is how many engines should have a model in demand at hand,
+	// spareRate from how many arrivals a second on.
+	// lossRisk is how likely the one engine that has a model is lost soon.
+	spareCopies = 2
+	spareRate   = 0.2
+	lossRisk    = 0.1
 	// leastBusy is the least time until a busy engine is free: an order's end is
 	// seen by a report. turnTime is what a model's drop takes before a load.
 	leastBusy = 100 * time.Millisecond
@@ -115,12 +123,35 @@
 			give(w.loadMove(model, "demand", now))
 		}
 	}
+	for _, need := range w.storeNeeds(now) {
+		give(w.loadMove(need.model, need.reason, now))
+	}
+	return moves
+}
+
+// storeNeed is a model that is loaded from the store before it is asked for.
+type storeNeed struct {
+	model  cardamom.ModelID
+	reason string
+	worth  float64
+}
+
+// storeNeeds returns the models that no engine has at hand, and those in demand
+// that few have, the most valuable first: a load from the store takes longer
+// than requests wait, and engines leave and die.
+func (w *World) storeNeeds(now time.Time) []storeNeed {
+	var list []storeNeed
 	for _, model := range w.models() {
-		if w.copies(model) == 0 && !w.atHand(model) {
-			give(w.loadMove(model, "absent", now))
+		rate := w.use(model).rate(now)
+		switch {
+		case w.copies(model) == 0 && w.atHand(model) == 0:
+			list = append(list, storeNeed{model, "absent", rate})
+		case w.copies(model) > 0 && w.atHand(model) < spareCopies && rate >= spareRate && w.seen(now) >= firstLook && w.storeLoads() == 0:
+			list = append(list, storeNeed{model, "spare", rate * lossRisk})
 		}
 	}
-	return moves
+	sort.SliceStable(list, func(i, j int) bool { return list[i].worth > list[j].worth })
+	return list
 }
 
 // followUp returns the load for which room was made on an engine.
@@ -167,7 +198,8 @@
 }
 
 // dueWants returns what requests wait for, the most waited for first, and
-// forgets what nobody waits for any more.
+// forgets what nobody waits for any more. Requests that are refused since a load
+// takes too long do not wait, so what is asked for counts too.
 func (w *World) dueWants(now time.Time) []want {
 	var list []want
 	for key, until := range w.wants {
@@ -177,9 +209,13 @@
 		}
 		list = append(list, key)
 	}
+	need := func(model cardamom.ModelID) float64 {
+		u := w.use(model)
+		return max(float64(u.waiting), u.rate(now)*needTime.Seconds())
+	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
-		if x, y := w.use(a.model).waiting, w.use(b.model).waiting; x != y {
+		if x, y := need(a.model), need(b.model); x != y {
 			return x > y
 		}
 		if a.model != b.model {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -153,6 +153,8 @@
 			world.Arrived(cardamom.ModelID(step.Model), step.Count, step.Tokens, now)
 		case "running":
 			world.Running(cardamom.ModelID(step.Model), 0, step.Count)
+		case "waiting":
+			world.Running(cardamom.ModelID(step.Model), step.Count, 0)
 		case "want":
 			world.Want(cardamom.ModelID(step.Model), step.Adapter, now.Add(time.Second))
 		case "report":
--- a/plan/room.go
+++ b/plan/room.go
@@ -24,7 +24,8 @@
 			continue
 		}
 		busy := w.busyFor(e, now)
-		if w.source(e, model) == fromStore && (busy > 0 || !w.mayStore(now)) {
+		if w.source(e, model) == fromStore && (busy > 0 || !w.mayStore(now) || reason == "demand" && spec.FromStore > memoryOf) {
+			// Demand is remembered for less than such a load takes.
 			continue
 		}
 		victim, loss, fits := w.room(e, spec, reason, now)
--- a/plan/world.go
+++ b/plan/world.go
@@ -128,7 +128,7 @@
 	// copyCounts and atHands were counted at the change number counted.
 	counted    uint64
 	copyCounts map[cardamom.ModelID]int
-	atHands    map[cardamom.ModelID]bool
+	atHands    map[cardamom.ModelID]int
 }
 
 // Done is an order that was carried out.
