--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -32,6 +32,10 @@
 	// AtOnce is how many loads beside each other the coordinator was told of.
 	AtOnce int  `json:"at_once"`
 	Bound  bool `json:"bound"`
+	// StoreLoads is the store's rate in loads a second, Successor means that
+	// another coordinated before.
+	StoreLoads float64 `json:"store_loads"`
+	Successor  bool    `json:"successor"`
 }
 
 // fixture is an engine at the start: what it holds and has on disk.
@@ -94,6 +98,9 @@
 			FromStore: 6 * time.Second, FromDisk: 1300 * time.Millisecond, FromMemory: 600 * time.Millisecond,
 		}
 	}
+	if s.StoreLoads > 0 {
+		engine.StoreLoads = s.StoreLoads
+	}
 	return engine
 }
 
@@ -136,7 +143,7 @@
 
 func play(s script) {
 	start := time.Unix(1000, 0)
-	world := plan.New(spec(s), plan.DefaultProfile, true, start)
+	world := plan.New(spec(s), plan.DefaultProfile, !s.Successor, start)
 	for id, f := range s.Engines {
 		world.Update(upstream(id, f, 1), start)
 		world.Report(cardamom.UpstreamID(id), site.Report{Held: held(f.Held), OnDisk: set(append(f.Disk, f.Held...))}, start)
@@ -161,6 +168,10 @@
 			world.Report(id, site.Report{Orders: step.Orders, Busy: step.Busy, Held: held(step.Held), OnDisk: set(onDisk(s, step))}, now)
 		case "register":
 			world.Update(upstream(step.Engine, fixture{Held: step.Held}, step.Beat), now)
+		case "leave":
+			leaving := upstream(step.Engine, fixture{Held: step.Held}, step.Beat)
+			leaving.State = cardamom.Leaving
+			world.Update(leaving, now)
 		case "answer":
 			world.Answered(given[step.Engine], results[step.Result], now)
 		case "gone":
--- a/plan/weights.go
+++ b/plan/weights.go
@@ -14,6 +14,9 @@
 	// their times show how many have their full speed, mostAtOnce the bound.
 	firstAtOnce = 1
 	mostAtOnce  = 8
+	// inherited is how many loads another coordinator may have begun within the
+	// window: each place of mostAtOnce twice, as a load takes longer.
+	inherited = 2 * mostAtOnce
 	// slowed is how many times its own time a load takes at least that others
 	// slow down: a slow engine alone makes 1.3. usual is the mean over engines
 	// and the lag of reports.
@@ -51,7 +54,7 @@
 	count := 0
 	for _, e := range w.engines {
 		// What another coordinator ordered may be such a load.
-		if e.foreign || e.pending != nil && e.pending.stored || e.purpose != "" && w.source(e, e.purpose) == fromStore {
+		if e.foreign && e.live() || e.pending != nil && e.pending.stored || e.purpose != "" && w.source(e, e.purpose) == fromStore {
 			count++
 		}
 	}
@@ -65,9 +68,6 @@
 
 // withinRate tells whether a load from the store may begin now.
 func (w *World) withinRate(now time.Time) bool {
-	if now.Before(w.weights.since) {
-		return false
-	}
 	recent := w.weights.loads[:0]
 	for _, at := range w.weights.loads {
 		if now.Sub(at) < storeWindow {
@@ -76,6 +76,9 @@
 	}
 	w.weights.loads = recent
 	allowed := w.spec.StoreLoads * storeWindow.Seconds() * ceilingShare / 100
+	if now.Before(w.weights.since) {
+		return float64(len(recent)+inherited) < allowed
+	}
 	return float64(len(recent)) < max(allowed, 1)
 }
 
