--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -134,7 +134,13 @@
 func (l *Loop) silence() time.Duration { return max(silentAfter, 2*l.tellPause()+tellTimeout) }
 
 func (l *Loop) readLease(now time.Time) {
-	l.leasing, l.leaseAt = true, now
+	l.leaseAt = now
+	l.fetchLease(l.observe)
+}
+
+// fetchLease reads the row and gives it to take.
+func (l *Loop) fetchLease(take func(row lease.Row, now time.Time)) {
+	l.leasing = true
 	go func() {
 		row, err := l.options.Table.Get(l.ctx, leaseKey)
 		l.post(func(now time.Time) {
@@ -145,7 +151,7 @@
 			}
 			l.leaseFailures = 0
 			l.leaseSeen = now
-			l.observe(l.decodeLease(row), now)
+			take(l.decodeLease(row), now)
 		})
 	}()
 }
@@ -195,22 +201,13 @@
 // recheck reads the lease row after a write without an answer. If the row is
 // this instance's and newer, the write was done.
 func (l *Loop) recheck(began time.Time) {
-	l.leasing = true
-	go func() {
-		row, err := l.options.Table.Get(l.ctx, leaseKey)
-		l.post(func(now time.Time) {
-			l.leasing = false
-			if err != nil {
-				return
-			}
-			found := l.decodeLease(row)
-			if l.lease.Held() && found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
-				l.lease.Written(found.Version, l.options.Sync, began)
-				return
-			}
-			l.observe(found, now)
-		})
-	}()
+	l.fetchLease(func(found lease.Row, now time.Time) {
+		if l.lease.Held() && found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
+			l.lease.Written(found.Version, l.options.Sync, began)
+			return
+		}
+		l.observe(found, now)
+	})
 }
 
 // Leave gives up the lease, so that another instance takes it at once.
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -47,9 +47,9 @@
 		report, err := l.options.Engines.Report(l.ctx, upstream)
 		if err != nil {
 			l.logger.Debug("report_missing", "upstream", upstream.ID, "reason", err)
-			l.post(func(now time.Time) {
+			l.post(func(time.Time) {
 				if t := l.tenure; t != nil && t.number == number {
-					if w, ok := t.worlds[service]; ok && w.Silent(upstream.ID, now) {
+					if w, ok := t.worlds[service]; ok && w.Silent(upstream.ID) {
 						l.logger.Warn("upstream_down", "upstream", upstream.ID, "address", upstream.Address, "fence", number, "reason", err)
 					}
 				}
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -7,6 +7,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
@@ -65,7 +66,11 @@
 		reply.Catalog = l.picture.catalog.Version()
 		if request.GetNeedDocument() && request.GetCatalog() < reply.Catalog {
 			if l.picture.packed == nil {
-				l.picture.packed = pack(l.picture.document)
+				packed, err := revs.Compress(l.picture.document)
+				if err != nil {
+					l.logger.Warn("document_not_sent", "version", reply.GetCatalog(), "reason", err)
+				}
+				l.picture.packed = packed
 			}
 			reply.Document = l.picture.packed
 		}
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -8,6 +8,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
@@ -172,7 +173,7 @@
 	l.behind = l.picture.catalog == nil || reply.GetCatalog() > l.picture.catalog.Version()
 	if packed := reply.GetDocument(); len(packed) > 0 {
 		l.needDocument = false
-		document, err := unpack(packed)
+		document, err := revs.Expand(packed)
 		if err != nil {
 			l.logger.Warn("catalog_ignored", "origin", "coordinator", "reason", err)
 		} else if catalog, err := l.options.Decode(document); err == nil {
--- a/logs/words.go
+++ b/logs/words.go
@@ -12,6 +12,7 @@
 	"configuration_ignored": "a published configuration is invalid; the one before stays in force",
 	"dependency_back":       "a lost dependency answers again",
 	"dependency_lost":       "a dependency stopped answering",
+	"document_not_sent":     "the configuration could not be packed for another instance",
 	"erred":                 "an upstream answered that it failed",
 	"hold_not_written":      "a hold's row could not be written",
 	"hold_step":             "a hold changed its state",
--- a/plan/doubt.go
+++ b/plan/doubt.go
@@ -39,7 +39,7 @@
 
 // Silent takes that an engine's report did not come, and tells whether the
 // engine is taken to be down from now on.
-func (w *World) Silent(id cardamom.UpstreamID, now time.Time) bool {
+func (w *World) Silent(id cardamom.UpstreamID) bool {
 	e, ok := w.engines[id]
 	if !ok || !e.doubt.asking || e.doubt.down {
 		return false
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -179,7 +179,7 @@
 		case "doubt":
 			world.Doubt(id, now)
 		case "silent":
-			world.Silent(id, now)
+			world.Silent(id)
 		}
 		if step.Asks != nil {
 			asked := []string{}
--- a/site/site.go
+++ b/site/site.go
@@ -94,10 +94,7 @@
 // Engine is what the model engines of a service have in common.
 type Engine struct {
 	Slots        int
-	TokenRoom    int
 	MemoryMB     float64
-	HostMB       float64
-	DiskMB       float64
 	AdapterSlots int
 	StoreLoads   float64
 	Models       map[cardamom.ModelID]Model
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -50,8 +50,6 @@
 type Report struct {
 	Orders   int64
 	Busy     bool
-	Queued   int
-	Running  int
 	Held     map[cardamom.ModelID][]string
 	Coming   map[cardamom.ModelID][]string
 	InMemory map[cardamom.ModelID]bool
