--- /dev/null
+++ b/coord/coord_internal_test.go
@@ -0,0 +1,205 @@
+package coord
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/site"
+	"cardamomcourse.example/cardamom/syncpb"
+	"cardamomcourse.example/cardamom/table"
+)
+
+func TestCoord(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "coord")
+}
+
+// engines answers all orders alike and no report.
+type engines struct {
+	result site.OrderResult
+}
+
+func (engines) Report(context.Context, cardamom.Upstream) (site.Report, error) {
+	return site.Report{}, eris.New("connection refused")
+}
+
+func (e engines) Send(context.Context, cardamom.Upstream, site.Order) site.OrderResult {
+	return e.result
+}
+
+var start = time.Unix(1000, 0)
+
+// newLoop returns the control side of an instance that nothing drives but the
+// test.
+func newLoop(id cardamom.InstanceID, result site.OrderResult) *Loop {
+	l := New(Options{
+		ID: id, Entry: string(id) + ":1", Sync: string(id) + ":2", Term: 3 * time.Second, Engines: engines{result},
+		Clock: func(time.Time) (int64, bool) { return 0, false }, Demand: demand.New(), Ledger: poison.New(), Logger: hclog.NewNullLogger(),
+	})
+	l.ctx = context.Background()
+	return l
+}
+
+// coordinate makes it coordinate engines x, which holds the model m, and y,
+// which has it on disk.
+func (l *Loop) coordinate() *world {
+	model := site.Model{Name: "m", SizeMB: 70, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: time.Second}
+	l.setCatalog(nil, site.NewCatalog(1, nil, []site.Service{{
+		Name: "s", Engine: &site.Engine{Slots: 8, MemoryMB: 150, StoreLoads: 3, Models: map[cardamom.ModelID]site.Model{"m": model}},
+	}}, site.Limits{}), "test")
+	l.lease.Written(7, l.options.Sync, start)
+	l.beginTenure(true, start)
+	held := map[cardamom.ModelID][]string{"m": nil}
+	disk := map[cardamom.ModelID]bool{"m": true}
+	l.takeListing(site.Listing{Full: true, Present: []*site.Upstream{
+		{Upstream: cardamom.Upstream{ID: "x", Service: "s", Address: "x:1", State: cardamom.Live}, Born: 1, Beat: 1, Held: held, OnDisk: disk},
+		{Upstream: cardamom.Upstream{ID: "y", Service: "s", Address: "y:1", State: cardamom.Live}, Born: 1, Beat: 1, OnDisk: disk},
+	}}, start, start)
+	w := l.tenure.worlds["s"]
+	w.Report("x", site.Report{Held: held, OnDisk: disk}, start)
+	w.Report("y", site.Report{OnDisk: disk}, start)
+	l.tenure.publishWorld(w)
+	return w
+}
+
+// hear takes an exchange of an instance and returns the answer.
+func (l *Loop) hearFrom(id string, change uint64, now time.Time) *syncpb.ExchangeReply {
+	return l.exchange(&syncpb.ExchangeRequest{
+		Member: &syncpb.Member{Instance: id, EntryAddress: id + ":1", SyncAddress: id + ":2"}, Tenure: l.tenure.number, Change: change,
+	}, now)
+}
+
+// held returns what the answer says that an engine holds, and whether it says
+// anything of it.
+func held(reply *syncpb.ExchangeReply, id string) ([]string, bool) {
+	for _, upstream := range reply.GetUpstreams() {
+		if upstream.GetId() != id {
+			continue
+		}
+		models := []string{}
+		for _, h := range upstream.GetHeld() {
+			models = append(models, h.GetModel())
+		}
+		return models, true
+	}
+	return nil, false
+}
+
+// asked names the engines whose report is due.
+func asked(w *world, now time.Time) []cardamom.UpstreamID {
+	ids := []cardamom.UpstreamID{}
+	for _, upstream := range w.Asks(now) {
+		ids = append(ids, upstream.ID)
+	}
+	return ids
+}
+
+var _ = Describe("an engine that an instance could not reach", func() {
+	doubt := func(instance string) *syncpb.AwaitRequest {
+		return &syncpb.AwaitRequest{Service: "s", Model: "m", Instance: instance, Doubts: []string{"x"}}
+	}
+
+	It("is asked, and left out of what instances are told after two missing reports", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		w := l.coordinate()
+		l.hearFrom("i-1", 0, start)
+		known := l.hearFrom("i-2", 0, start)
+		models, _ := held(known, "x")
+		Expect(models).To(Equal([]string{"m"}))
+		l.tenure.doubt(w, doubt("i-2"), start)
+		for n := range 2 {
+			now := start.Add(time.Duration(n) * 200 * time.Millisecond)
+			Expect(asked(w, now)).To(Equal([]cardamom.UpstreamID{"x"}))
+			l.ask("s", cardamom.Upstream{ID: "x"})
+			(<-l.events)(now)
+			l.tenure.publishWorld(w)
+			models, told := held(l.hearFrom("i-2", known.GetChange(), now), "x")
+			Expect(told).To(Equal(n == 1))
+			Expect(models).To(BeEmpty())
+		}
+		Expect(w.Ready("m", "", start.Add(time.Second))).To(BeEmpty())
+	})
+
+	It("is not doubted on the coordinator's word alone while there are others", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		w := l.coordinate()
+		l.hearFrom("i-1", 0, start)
+		l.hearFrom("i-2", 0, start)
+		l.tenure.doubt(w, doubt("i-1"), start)
+		Expect(asked(w, start.Add(time.Second))).To(BeEmpty())
+	})
+
+	It("is doubted on its word if it is alone", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		w := l.coordinate()
+		l.hearFrom("i-1", 0, start)
+		l.tenure.doubt(w, doubt("i-1"), start)
+		Expect(asked(w, start.Add(time.Second))).To(Equal([]cardamom.UpstreamID{"x"}))
+	})
+})
+
+var _ = Describe("the lease row", func() {
+	known := map[cardamom.ServiceID]plan.AtOnce{"s": {Loads: 2, Bound: true}}
+
+	It("hands on how many loads run beside each other", func() {
+		before := newLoop("i-1", site.OrderAccepted)
+		before.picture.atOnce = known
+		value := before.encodeLease(lease.Row{Holder: "i-1", Address: "i-1:2", Renewed: 5})
+		after := newLoop("i-2", site.OrderAccepted)
+		row := after.decodeLease(table.NewRow(leaseKey, value, 6))
+		Expect(row).To(Equal(lease.Row{Version: 6, Holder: "i-1", Address: "i-1:2", Renewed: 5}))
+		Expect(after.coordinate().AtOnce()).To(Equal(known["s"]))
+	})
+
+	It("does not change what a coordinator found out itself", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		l.coordinate()
+		l.decodeLease(table.NewRow(leaseKey, []byte(`{"holder":"i-2","at_once":{"s":{"loads":5}}}`), 6))
+		Expect(l.picture.atOnce).NotTo(HaveKey(cardamom.ServiceID("s")))
+	})
+
+	DescribeTable("counts as released when it is not one of ours",
+		func(value string) {
+			row := newLoop("i-1", site.OrderAccepted).decodeLease(table.NewRow(leaseKey, []byte(value), 6))
+			Expect(row).To(Equal(lease.Row{Version: 6, Released: true}))
+		},
+		Entry("without a value", ""),
+		Entry("with another value", `["x"]`),
+	)
+})
+
+var _ = Describe("an order", func() {
+	It("that an engine turns down for a newer coordinator ends the tenure", func() {
+		l := newLoop("i-1", site.OrderFenced)
+		w := l.coordinate()
+		w.Want("m", "", start.Add(time.Second))
+		l.order("s", plan.Move{Upstream: cardamom.Upstream{ID: "y"}, Order: site.Order{Kind: site.Load, Model: "m"}})
+		(<-l.events)(start)
+		Expect(l.tenure).To(BeNil())
+		Expect(l.lease.Held()).To(BeFalse())
+	})
+
+	It("of an earlier tenure is not answered to the next", func() {
+		l := newLoop("i-1", site.OrderFenced)
+		l.coordinate()
+		l.order("s", plan.Move{Upstream: cardamom.Upstream{ID: "y"}, Order: site.Order{Kind: site.Load, Model: "m"}})
+		event := <-l.events
+		l.endTenure("test")
+		l.lease.Written(9, l.options.Sync, start)
+		l.beginTenure(false, start)
+		l.tenure.number++
+		event(start)
+		Expect(l.tenure).NotTo(BeNil())
+	})
+})
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -36,6 +36,8 @@
 	// another coordinated before.
 	StoreLoads float64 `json:"store_loads"`
 	Successor  bool    `json:"successor"`
+	// FromStore is how long a load from the store takes, 6 s without it.
+	FromStore int64 `json:"from_store_ms"`
 }
 
 // fixture is an engine at the start: what it holds and has on disk.
@@ -92,10 +94,14 @@
 // spec describes engines that hold two models of 70 and eight adapters.
 func spec(s script) *site.Engine {
 	engine := &site.Engine{Slots: 8, MemoryMB: 150, AdapterSlots: 2, StoreLoads: 3, Models: make(map[cardamom.ModelID]site.Model)}
+	fromStore := 6 * time.Second
+	if s.FromStore > 0 {
+		fromStore = time.Duration(s.FromStore) * time.Millisecond
+	}
 	for name, adapters := range s.Models {
 		engine.Models[cardamom.ModelID(name)] = site.Model{
 			Name: cardamom.ModelID(name), SizeMB: 70, Adapters: adapters, AdapterMB: 1,
-			FromStore: 6 * time.Second, FromDisk: 1300 * time.Millisecond, FromMemory: 600 * time.Millisecond,
+			FromStore: fromStore, FromDisk: 1300 * time.Millisecond, FromMemory: 600 * time.Millisecond,
 		}
 	}
 	if s.StoreLoads > 0 {
