--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -38,6 +38,8 @@
 	Successor  bool    `json:"successor"`
 	// FromStore is how long a load from the store takes, 6 s without it.
 	FromStore int64 `json:"from_store_ms"`
+	// Sizes are those of models that are not of the usual 70 MB.
+	Sizes map[string]float64 `json:"sizes_mb"`
 }
 
 // fixture is an engine at the start: what it holds and has on disk.
@@ -99,8 +101,12 @@
 		fromStore = time.Duration(s.FromStore) * time.Millisecond
 	}
 	for name, adapters := range s.Models {
+		size, ok := s.Sizes[name]
+		if !ok {
+			size = 70
+		}
 		engine.Models[cardamom.ModelID(name)] = site.Model{
-			Name: cardamom.ModelID(name), SizeMB: 70, Adapters: adapters, AdapterMB: 1,
+			Name: cardamom.ModelID(name), SizeMB: size, Adapters: adapters, AdapterMB: 1,
 			FromStore: fromStore, FromDisk: 1300 * time.Millisecond, FromMemory: 600 * time.Millisecond,
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,9 +70,11 @@
 type asker struct {
 	prospect coord.Prospect
 	doubts   chan []cardamom.UpstreamID
+	calls    *atomic.Int32
 }
 
 func (a asker) Await(ctx context.Context, need coord.Need) coord.Prospect {
+	a.calls.Add(1)
 	select {
 	case a.doubts <- need.Doubts:
 	default:
@@ -86,7 +89,9 @@
 type world struct {
 	engines []*host.Engine
 	// doubts are those of the first call for a model.
-	doubts  chan []cardamom.UpstreamID
+	doubts chan []cardamom.UpstreamID
+	// calls counts those calls.
+	calls   atomic.Int32
 	front   *httptest.Server
 	closing context.CancelFunc
 }
@@ -121,7 +126,7 @@
 	w.closing = closeNow
 	DeferCleanup(closeNow)
 	server := relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Desk: await.New(asker{prospect, w.doubts}),
+		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Desk: await.New(asker{prospect, w.doubts, &w.calls}),
 		Pool: conns.New(nil), Demand: demand.New(), Health: health.New(), Pace: pace.New(),
 		Budget: retry.New(retry.Limits{Ratio: 1, Window: 10 * time.Second, Slack: 100}), Ledger: poison.New(), Counts: tally.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
@@ -256,6 +261,8 @@
 		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(response.Header.Get("Retry-After")).To(HavePrefix("0."))
 		Expect(w.doubts).To(Receive(Not(BeEmpty())))
+		// Between the three sends that a request has.
+		Expect(w.calls.Load()).To(BeEquivalentTo(2))
 	})
 
 	It("refuses what waits for a model when the instance closes", func() {
