Keep a removal that the platform told against the word of a coordinator that is cut from it

A removal is remembered with its time; a coordinator's word that is older does not undo it, in exchanges and answers alike. When a coordinator reaches the platform again, the next exchange is whole, since what an instance took from the platform itself is in no change.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -170,7 +170,7 @@
 	DescribeTable("in the answer to a wait is taken",
 		func(tenure, change uint64, expected ...cardamom.UpstreamID) {
 			l := follower()
-			l.learn(&syncpb.AwaitReply{Tenure: tenure, Change: change, Upstreams: y})
+			l.learn(&syncpb.AwaitReply{Tenure: tenure, Change: change, Upstreams: y}, start)
 			Expect(known(l)).To(ConsistOf(expected))
 		},
 		Entry("if it is as new as the last exchange", uint64(7), uint64(5), cardamom.UpstreamID("x"), cardamom.UpstreamID("y")),
@@ -180,6 +180,48 @@
 		Entry("of a later coordinator", uint64(8), uint64(1), cardamom.UpstreamID("x"), cardamom.UpstreamID("y")),
 	)
 
+	DescribeTable("by a coordinator that is cut from the platform does not bring back what the platform removed",
+		func(tell func(l *Loop, age time.Duration, now time.Time)) {
+			l := follower()
+			removed := start.Add(2 * time.Second)
+			l.takeListing(site.Listing{Full: true}, removed, removed)
+			Expect(known(l)).To(BeEmpty())
+			tell(l, 1500*time.Millisecond, removed.Add(time.Second))
+			Expect(known(l)).To(BeEmpty())
+			tell(l, 500*time.Millisecond, removed.Add(time.Second))
+			Expect(known(l)).To(Equal([]cardamom.UpstreamID{"x"}))
+		},
+		Entry("in an exchange", func(l *Loop, age time.Duration, now time.Time) {
+			l.takeReply("i-1:2", &syncpb.ExchangeReply{
+				Coordinates: true, Tenure: 7, Change: 6, UpstreamsAgeMs: age.Milliseconds(), Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 1}},
+			}, nil, now, now)
+		}),
+		Entry("in the answer to a wait", func(l *Loop, age time.Duration, now time.Time) {
+			l.learn(&syncpb.AwaitReply{
+				Tenure: 7, Change: 6, UpstreamsAgeMs: age.Milliseconds(), Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 1}},
+			}, now)
+		}),
+	)
+
+	It("is asked for as a whole once its coordinator has reached the platform again", func() {
+		l := follower()
+		for _, age := range []int64{2000, 0} {
+			Expect(l.report(demand.Report{}).GetTenure()).To(Equal(uint64(7)))
+			l.takeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Change: 5, UpstreamsAgeMs: age}, nil, start, start)
+		}
+		Expect(l.report(demand.Report{}).GetTenure()).To(BeZero())
+		l.takeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Change: 5, Full: true}, nil, start, start)
+		Expect(l.report(demand.Report{}).GetTenure()).To(Equal(uint64(7)))
+	})
+
+	It("by it about a later run of an upstream is taken", func() {
+		l := follower()
+		removed := start.Add(2 * time.Second)
+		l.takeListing(site.Listing{Full: true}, removed, removed)
+		l.learn(&syncpb.AwaitReply{Tenure: 7, Change: 6, UpstreamsAgeMs: 5000, Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 2}}}, removed)
+		Expect(known(l)).To(Equal([]cardamom.UpstreamID{"x"}))
+	})
+
 	DescribeTable("by the platform is taken",
 		func(began time.Duration, expected ...cardamom.UpstreamID) {
 			l := follower()
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -111,7 +111,7 @@
 func New(options Options) *Loop {
 	return &Loop{
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventRoom), board: newBoard(),
-		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), atOnce: make(map[cardamom.ServiceID]plan.AtOnce), ledger: options.Ledger},
+		picture: &picture{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), atOnce: make(map[cardamom.ServiceID]plan.AtOnce), removals: make(map[cardamom.UpstreamID]removal), ledger: options.Ledger},
 		lease:   lease.New(options.ID, options.Term), peers: newPeers(),
 	}
 }
@@ -221,7 +221,10 @@
 
 // dropUpstream takes that an upstream is no longer listed.
 func (l *Loop) dropUpstream(id cardamom.UpstreamID, origin string) {
-	if _, ok := l.picture.upstreams[id]; ok {
+	if known, ok := l.picture.upstreams[id]; ok {
+		if origin == "platform" {
+			l.picture.remove(known, l.picture.learned)
+		}
 		delete(l.picture.upstreams, id)
 		l.changed = true
 		l.logger.Info("upstream_gone", "upstream", id, "origin", origin)
--- a/coord/tell.go
+++ b/coord/tell.go
@@ -165,9 +165,12 @@
 
 // follow applies what the coordinator told.
 func (l *Loop) follow(reply *syncpb.ExchangeReply, began time.Time) {
-	l.position.stale = reply.GetUpstreamsAgeMs() >= staleAfter.Milliseconds()
+	learned := began.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
+	stale := reply.GetUpstreamsAgeMs() >= staleAfter.Milliseconds()
+	refreshed := l.position.stale && !stale && !reply.GetFull()
+	l.position.stale = stale
 	l.position.tenure, l.position.change, l.position.members = reply.GetTenure(), reply.GetChange(), reply.GetMembersVersion()
-	if learned := began.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond); learned.After(l.picture.learned) {
+	if learned.After(l.picture.learned) {
 		l.picture.learned = learned
 	}
 	l.behind = l.picture.catalog == nil || reply.GetCatalog() > l.picture.catalog.Version()
@@ -192,7 +195,9 @@
 	for _, wire := range reply.GetUpstreams() {
 		upstream := decodeUpstream(wire)
 		present[upstream.ID] = true
-		l.setUpstream(upstream, "coordinator")
+		if !l.picture.removed(upstream, learned) {
+			l.setUpstream(upstream, "coordinator")
+		}
 	}
 	if reply.GetFull() {
 		for id := range l.picture.upstreams {
@@ -213,6 +218,11 @@
 		l.changed = true
 	}
 	l.takeLoads(reply)
+	if refreshed {
+		// This instance read the platform itself meanwhile. What it took from there
+		// and the coordinator did not is in no change, so the next answer is whole.
+		l.position.tenure, l.position.change = 0, 0
+	}
 }
 
 // takeLoads takes what the other instances have in progress.
@@ -310,8 +320,8 @@
 // show puts an answer's upstreams into the view and waits until it shows them.
 func (l *Loop) show(ctx context.Context, reply *syncpb.AwaitReply) {
 	done := make(chan struct{})
-	l.post(func(time.Time) {
-		l.learn(reply)
+	l.post(func(now time.Time) {
+		l.learn(reply, now)
 		l.board.current.Store(l.picture.view())
 		close(done)
 	})
@@ -323,12 +333,15 @@
 
 // learn takes an answer's upstreams unless an exchange told something newer: it
 // may have told that they are gone, and would not tell that again.
-func (l *Loop) learn(reply *syncpb.AwaitReply) {
+func (l *Loop) learn(reply *syncpb.AwaitReply, now time.Time) {
 	if reply.GetTenure() < l.position.tenure || reply.GetTenure() == l.position.tenure && reply.GetChange() < l.position.change {
 		l.logger.Debug("answer_outdated", "fence", reply.GetTenure(), "expected", l.position.change, "version", reply.GetChange())
 		return
 	}
+	learned := now.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
 	for _, wire := range reply.GetUpstreams() {
-		l.setUpstream(decodeUpstream(wire), "coordinator")
+		if upstream := decodeUpstream(wire); !l.picture.removed(upstream, learned) {
+			l.setUpstream(upstream, "coordinator")
+		}
 	}
 }
--- a/coord/tenure.go
+++ b/coord/tenure.go
@@ -303,7 +303,7 @@
 
 // awaitReply tells whether requests can be sent, or when.
 func (t *tenure) awaitReply(a *await, now time.Time) *syncpb.AwaitReply {
-	reply := &syncpb.AwaitReply{Coordinates: true, ExpectedMs: -1, Tenure: t.number, Change: t.change}
+	reply := &syncpb.AwaitReply{Coordinates: true, ExpectedMs: -1, Tenure: t.number, Change: t.change, UpstreamsAgeMs: now.Sub(t.loop.picture.learned).Milliseconds()}
 	w, ok := t.worlds[a.service]
 	if !ok {
 		return reply
--- a/coord/view.go
+++ b/coord/view.go
@@ -108,6 +108,35 @@
 	learned   time.Time
 	confirmed time.Time
 	ledger    *poison.Ledger
+	// removals are the upstreams that the platform told this instance are gone.
+	removals map[cardamom.UpstreamID]removal
+}
+
+// removal is an upstream's run that is no longer listed, and when it was not.
+type removal struct {
+	born int64
+	at   time.Time
+}
+
+// removalMemory is how long a removal is remembered: longer than a coordinator
+// that is cut from the platform coordinates.
+const removalMemory = time.Minute
+
+// remove notes that the platform no longer lists an upstream.
+func (p *picture) remove(upstream *site.Upstream, at time.Time) {
+	for id, known := range p.removals {
+		if at.Sub(known.at) > removalMemory {
+			delete(p.removals, id)
+		}
+	}
+	p.removals[upstream.ID] = removal{upstream.Born, at}
+}
+
+// removed tells whether this instance knows from the platform that an upstream
+// is gone, and the coordinator's word of it is older.
+func (p *picture) removed(upstream *site.Upstream, learned time.Time) bool {
+	known, ok := p.removals[upstream.ID]
+	return ok && upstream.Born <= known.born && !learned.After(known.at)
 }
 
 func (p *picture) view() *View {
