Take an engine that is busy after its drop as unsure

Found by reading: the answer to a load behind a drop is lost, its repetition turned down, and the next report shows the drop done and the engine busy. The plan took the engine as free; an order given when that load had ended, before a report showed it, could have overfilled the engine.

--- a/plan/world.go
+++ b/plan/world.go
@@ -214,13 +214,14 @@
 	for model, adapters := range report.Held {
 		held[model] = append(append([]string(nil), adapters...), report.Coming[model]...)
 	}
-	// An order that is not known here, of an earlier holder, is being carried out.
+	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
+	// An order that is not known here is being carried out: of an earlier holder,
+	// or one whose answer was lost.
 	e.unsure = report.Busy && e.pending == nil
 	e.foreign = e.unsure
 	if e.unsure {
 		e.rest = now.Add(foreignAsk)
 	}
-	w.hold(e, report.Orders, held, report.InMemory, report.OnDisk, now)
 	if p := e.pending; p != nil && !report.Busy && now.Sub(p.ready) > p.settle() {
 		w.countBeside(now)
 		e.pending = nil
