Pause between answers that name an engine which is not known here

Found by reading: while a coordinator that is cut from the platform names an engine that an instance knows to be gone, or one that just said it lacks the model, the instance asked again without a pause, for up to the request's patience. The spec counts the calls; it fails on the code before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -56,9 +56,11 @@
 	tried    map[cardamom.UpstreamID]bool
 	// vouched means that the coordinator has reached what this instance could not.
 	vouched bool
-	last    cardamom.UpstreamID
-	waited  time.Duration
-	wait    *pace.Wait
+	// told means that the coordinator named an engine since the last send.
+	told   bool
+	last   cardamom.UpstreamID
+	waited time.Duration
+	wait   *pace.Wait
 	// first is the time from the arrival to the first event passed on.
 	first time.Duration
 	// started means that the response's header has gone to the caller.
@@ -129,7 +131,7 @@
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, Once: !x.route.Repeatable(),
 		Header: s.Dialect.Forward(endToEnd(x.r.Header), Send{Upstream: upstream.ID, Left: time.Until(x.deadline()), Resume: resume, Urgency: x.route.Urgency()}),
 	}
-	x.last = upstream.ID
+	x.last, x.told = upstream.ID, false
 	x.wait = s.Pace.Sent(upstream.ID, now)
 	defer x.wait.Ended()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
--- a/relay/find.go
+++ b/relay/find.go
@@ -253,6 +253,11 @@
 	s.Demand.Waiting(x.key, -1)
 	if verdict.Ready {
 		x.vouched = true
+		if x.told {
+			// What it named is not known here, or said that it lacks the model.
+			x.sleep(recheck)
+		}
+		x.told = true
 		return
 	}
 	if x.over() {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -265,6 +265,16 @@
 		Expect(w.calls.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("does not ask without a pause while the coordinator names engines that are not known here", func() {
+		w := newWorld(coord.Prospect{Known: true, Ready: true})
+		response, err := http.DefaultClient.Do(w.ask("/stream/x", "cold", nil))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		// A pause of 25 ms leaves at most 110 calls to the 2.75 s that it waits.
+		Expect(w.calls.Load()).To(BeNumerically("<=", 120))
+	})
+
 	It("refuses what waits for a model when the instance closes", func() {
 		w := newWorld(coord.Prospect{Known: true, Expected: time.Second})
 		status := make(chan int, 1)
