Follow the new holder of the lease while the old coordinator still answers

Cause: a coordinator that the store does not answer goes on answering exchanges and waits. Where engines don't check fencing tokens it may not order any more after four fifths of a lease, and another instance takes the lease; but the members kept the old one, as it answered. Change: an instance whose coordinator has stale data reads the lease row already; it now turns to the row's holder if the row is newer than the coordinator's term, and ignores answers of earlier terms from then on. The spec fails without it.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -237,6 +237,39 @@
 	)
 })
 
+var _ = Describe("a coordinator that lost the store", func() {
+	// stale is the answer of a coordinator whose data is older than staleAfter.
+	stale := &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Change: 5, UpstreamsAgeMs: 5000}
+	follower := func() *Loop {
+		l := newLoop("i-3", site.OrderAccepted)
+		l.handleExchangeReply("i-1:2", stale, nil, start, start)
+		return l
+	}
+
+	It("is left for the instance that took the lease, also if its answer comes after that", func() {
+		l := follower()
+		l.observe(lease.Row{Version: 74, Holder: "i-2", Address: "i-2:2"}, start.Add(time.Second))
+		Expect(l.coordinator(start)).To(Equal("i-2:2"))
+		l.handleExchangeReply("i-1:2", stale, nil, start, start.Add(time.Second))
+		Expect(l.coordinator(start)).To(Equal("i-2:2"))
+		l.handleExchangeReply("i-2:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 74, Full: true}, nil, start, start.Add(time.Second))
+		Expect(l.hasCoordinator(start.Add(time.Second))).To(BeTrue())
+		Expect(l.position.term).To(Equal(uint64(74)))
+	})
+
+	DescribeTable("is kept",
+		func(row lease.Row) {
+			l := follower()
+			l.observe(row, start.Add(time.Second))
+			Expect(l.coordinator(start)).To(Equal("i-1:2"))
+		},
+		Entry("while it holds the lease", lease.Row{Version: 74, Holder: "i-1", Address: "i-1:2"}),
+		Entry("if the lease was released", lease.Row{Version: 74, Holder: "i-2", Address: "i-2:2", Released: true}),
+		Entry("if the row that was read is older than its term", lease.Row{Version: 6, Holder: "i-2", Address: "i-2:2"}),
+		Entry("if the row names no address", lease.Row{Version: 74, Holder: "i-2"}),
+	)
+})
+
 var _ = Describe("the lease row", func() {
 	known := map[cardamom.ServiceID]plan.StoreConcurrency{"s": {Loads: 2, LimitReached: true}}
 
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -154,7 +154,7 @@
 		}
 		return
 	}
-	if l.term != nil || reply.GetTenure() < l.position.term {
+	if l.term != nil || reply.GetTenure() < max(l.position.term, l.minTerm) {
 		return
 	}
 	if l.position.coordinator != address || l.position.term != reply.GetTenure() {
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -167,6 +167,23 @@
 func (l *Loop) observe(row lease.Row, now time.Time) {
 	storeMS, _ := l.options.Clock(now)
 	l.lease.Observe(row, storeMS, now)
+	l.followHolder(row)
+}
+
+// followHolder makes the lease's holder the coordinator of this instance if it took
+// the lease after the coordinator that this instance has exchanged with. That one may
+// have lost the store, and then still answers but neither plans nor learns that it
+// was replaced.
+func (l *Loop) followHolder(row lease.Row) {
+	followed := l.position
+	if l.term != nil || followed.coordinator == "" || followed.coordinator == row.Address ||
+		row.Released || row.Address == "" || row.Holder == l.options.ID || row.Version <= followed.term {
+		return
+	}
+	l.logger.Info("coordinator_replaced", "address", followed.coordinator, "holder", row.Holder, "fence", followed.term)
+	l.minTerm = max(l.minTerm, followed.term+1)
+	l.position = position{coordinator: row.Address}
+	l.lastExchange = time.Time{}
 }
 
 func (l *Loop) writeLease(now time.Time) {
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -101,7 +101,10 @@
 	// lastAnswered is when the last exchange that a coordinator answered began.
 	lastAnswered time.Time
 	position     position
-	leaving      bool
+	// minTerm is the least term whose coordinator may still coordinate: those of the
+	// terms before it are known to have been replaced, and their answers are ignored.
+	minTerm uint64
+	leaving bool
 	// catalogBehind means that the coordinator has a newer catalog.
 	catalogBehind bool
 	// needDocument means that this instance could not read the newer catalog from
