Make a look at the plan cheaper

Cause: at 60 engines and 200 models one look takes 0.72 ms, and a coordinator with work looks up to 66 times a second: a quarter of the processor of an instance with 0.19 cores, beside exchanges and orders. Change: decay factors and windows are computed once a look, the engines and models are sorted once, and no room is sought on engines where the load alone costs more than the best so far. The decisions are the same.

--- a/plan/decide.go
+++ b/plan/decide.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -131,12 +133,13 @@
 			issue(order, ok)
 		}
 	}
-	for _, model := range pl.modelsByDemand() {
+	models := pl.modelsByDemand()
+	for _, model := range models {
 		if d, ok := pl.demands[model]; ok && pl.replicas(model) < pl.wantedReplicas(model, now) && d.lastArrival.After(now.Add(-demandDecay)) && pl.replicas(model) > 0 {
 			issue(pl.loadOrder(model, "demand", now))
 		}
 	}
-	for _, load := range pl.preloads(now) {
+	for _, load := range pl.preloads(models, now) {
 		issue(pl.loadOrder(load.model, load.reason, now))
 	}
 	return orders
@@ -150,12 +153,12 @@
 	value float64
 }
 
-// preloads returns, the most valuable first, the models that no engine has in memory
+// preloads returns, the most valuable first, those of the models that no engine has in memory
 // or on disk, and the models in demand that fewer than minLocalEngines have there. A
 // load from the store takes longer than requests wait, and engines leave and fail.
-func (pl *Planner) preloads(now time.Time) []preload {
+func (pl *Planner) preloads(models []cardamom.ModelID, now time.Time) []preload {
 	var list []preload
-	for _, model := range pl.modelsByDemand() {
+	for _, model := range models {
 		rate := pl.demandOf(model).rate(now)
 		switch {
 		case pl.replicas(model) == 0 && pl.localCount(model) == 0:
@@ -218,50 +221,51 @@
 // first, and deletes expired waits. Requests that are refused because a load takes too
 // long do not wait, so expected arrivals count too.
 func (pl *Planner) activeWaits(now time.Time) []modelKey {
-	var list []modelKey
+	type activeWait struct {
+		key  modelKey
+		need float64
+	}
+	var list []activeWait
 	for key, until := range pl.waits {
 		if now.After(until) {
 			delete(pl.waits, key)
 			continue
 		}
-		list = append(list, key)
-	}
-	need := func(model cardamom.ModelID) float64 {
-		d := pl.demandOf(model)
-		return max(float64(d.waiting), d.rate(now)*needWindow.Seconds())
+		d := pl.demandOf(key.model)
+		list = append(list, activeWait{key, max(float64(d.waiting), d.rate(now)*needWindow.Seconds())})
 	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if x, y := need(a.model), need(b.model); x != y {
-			return x > y
-		}
-		if a.model != b.model {
-			return a.model < b.model
-		}
-		return a.adapter < b.adapter
+	slices.SortFunc(list, func(a, b activeWait) int {
+		return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.adapter, b.key.adapter))
 	})
-	return list
+	keys := make([]modelKey, 0, len(list))
+	for _, wait := range list {
+		keys = append(keys, wait.key)
+	}
+	return keys
 }
 
 // modelsByDemand returns the IDs of all models, the most requested first.
 func (pl *Planner) modelsByDemand() []cardamom.ModelID {
-	list := make([]cardamom.ModelID, 0, len(pl.spec.Models))
-	for model := range pl.spec.Models {
-		list = append(list, model)
+	type demanded struct {
+		model    cardamom.ModelID
+		arrivals float64
 	}
-	count := func(model cardamom.ModelID) float64 {
+	list := make([]demanded, 0, len(pl.spec.Models))
+	for model := range pl.spec.Models {
+		arrivals := 0.0
 		if d, ok := pl.demands[model]; ok {
-			return d.arrivals
+			arrivals = d.arrivals
 		}
-		return 0
+		list = append(list, demanded{model, arrivals})
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if x, y := count(list[i]), count(list[j]); x != y {
-			return x > y
-		}
-		return list[i] < list[j]
+	slices.SortFunc(list, func(a, b demanded) int {
+		return cmp.Or(cmp.Compare(b.arrivals, a.arrivals), cmp.Compare(a.model, b.model))
 	})
-	return list
+	models := make([]cardamom.ModelID, 0, len(list))
+	for _, d := range list {
+		models = append(models, d.model)
+	}
+	return models
 }
 
 // acceptsOrder reports whether an order may be sent to the engine now.
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -20,17 +20,38 @@
 	waiting int
 	// running is how many requests for the model are in flight.
 	running int
+	// factors are the decay factors as of the last call of decay.
+	factors decayFactors
+}
+
+// decayFactors are the fractions of counts that remain at a time. One look at the
+// plan uses them for each engine.
+type decayFactors struct {
+	at, since time.Time
+	arrivals  float64
+	tokens    float64
 }
 
 // decayedArrivals returns arrivals, decayed to the given time.
 func (d *modelDemand) decayedArrivals(now time.Time) float64 {
-	return d.arrivals * d.decayFactor(now, demandDecay)
+	return d.arrivals * d.decay(now).arrivals
 }
 
-// decayFactor returns the fraction of a count that remains at the given time, for
-// the given time constant.
-func (d *modelDemand) decayFactor(now time.Time, decay time.Duration) float64 {
-	return math.Exp(-now.Sub(d.updated).Seconds() / decay.Seconds())
+// decayedTokens returns tokens, decayed to the given time.
+func (d *modelDemand) decayedTokens(now time.Time) float64 {
+	return d.tokens * d.decay(now).tokens
+}
+
+// decay returns the fractions of the counts that remain at the given time.
+func (d *modelDemand) decay(now time.Time) decayFactors {
+	if d.factors.at != now || d.factors.since != d.updated {
+		elapsed := now.Sub(d.updated).Seconds()
+		d.factors = decayFactors{
+			at: now, since: d.updated,
+			arrivals: math.Exp(-elapsed / demandDecay.Seconds()), tokens: math.Exp(-elapsed / tokenDecay.Seconds()),
+		}
+	}
+	return d.factors
 }
 
 // rate returns the expected arrivals per second.
@@ -49,11 +70,11 @@
 // together.
 func (pl *Planner) Arrived(model cardamom.ModelID, count, tokens int, now time.Time) {
 	if pl.demandSince.IsZero() {
-		pl.demandSince = now
+		pl.demandSince, pl.windows = now, windows{}
 	}
 	d := pl.demandOf(model)
 	d.arrivals = d.decayedArrivals(now) + float64(count)
-	d.tokens = d.tokens*d.decayFactor(now, tokenDecay) + float64(tokens)
+	d.tokens = d.decayedTokens(now) + float64(tokens)
 	d.updated, d.lastArrival = now, now
 }
 
--- a/plan/eviction.go
+++ b/plan/eviction.go
@@ -39,13 +39,17 @@
 			// takes longer than demand is remembered.
 			continue
 		}
+		wait := busy + pl.loadTime(e, model)
+		if wait.Seconds() >= lowestCost {
+			continue
+		}
 		evicted, evictCost, fits := pl.roomFor(e, spec, reason, now)
 		// A busy engine without room stays a candidate: its loaded models change, and
 		// it may have room when it is free.
 		if !fits && busy == 0 {
 			continue
 		}
-		if cost := busy.Seconds() + pl.loadTime(e, model).Seconds() + evictCost + utilizationCost*pl.utilization(e, model, now); cost < lowestCost {
+		if cost := wait.Seconds() + evictCost + utilizationCost*pl.utilization(e, model, now); cost < lowestCost {
 			best, bestEvicted, lowestCost = e, evicted, cost
 		}
 	}
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -25,7 +25,8 @@
 package plan
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -140,6 +141,8 @@
 	spec    *site.EngineSpec
 	profile Profile
 	engines map[cardamom.UpstreamID]*engine
+	// byID are the engines sorted by ID, nil if they are to be sorted again.
+	byID    []*engine
 	demands map[cardamom.ModelID]*modelDemand
 	waits   map[modelKey]time.Time
 	store   storeState
@@ -147,6 +150,7 @@
 	swaps modelDemand
 	// completed has the completed orders that TakeCompleted has not returned yet.
 	completed []CompletedOrder
+	windows   windows
 	// demandSince is when the first demand was counted.
 	demandSince time.Time
 	version     uint64
@@ -202,6 +206,7 @@
 			loadedAt: make(map[cardamom.ModelID]time.Time), needsReport: true,
 		}
 		pl.engines[upstream.ID] = fresh
+		pl.byID = nil
 		pl.markChanged(fresh)
 		return
 	}
@@ -298,6 +303,7 @@
 func (pl *Planner) Remove(id cardamom.UpstreamID) {
 	if _, ok := pl.engines[id]; ok {
 		delete(pl.engines, id)
+		pl.byID = nil
 		pl.version++
 	}
 }
@@ -359,13 +365,15 @@
 	return list
 }
 
+// sorted returns the engines sorted by ID.
 func (pl *Planner) sorted() []*engine {
-	list := make([]*engine, 0, len(pl.engines))
-	for _, e := range pl.engines {
-		list = append(list, e)
+	if pl.byID == nil {
+		for _, e := range pl.engines {
+			pl.byID = append(pl.byID, e)
+		}
+		slices.SortFunc(pl.byID, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return pl.byID
 }
 
 // sameLoaded reports whether two records of what an engine has loaded are equal.
--- a/plan/replicas.go
+++ b/plan/replicas.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return 1
 	}
-	window := pl.effectiveWindow(now, demandDecay)
+	window := pl.effectiveWindows(now).arrivals
 	count := 1
 	if d.decayedArrivals(now)/window >= pl.secondReplicaRate(now) {
 		count = 2
@@ -78,7 +78,7 @@
 // and a load each: a second replica takes memory from a rarely used model, whose
 // requests then wait for a swap.
 func (pl *Planner) secondReplicaRate(now time.Time) float64 {
-	busy := pl.swaps.decayedArrivals(now) / pl.effectiveWindow(now, demandDecay) * swapSeconds / float64(max(len(pl.engines), 1))
+	busy := pl.swaps.decayedArrivals(now) / pl.effectiveWindows(now).arrivals * swapSeconds / float64(max(len(pl.engines), 1))
 	if busy > scarceSwapShare {
 		return pl.profile.ScarceReplicaRate
 	}
@@ -111,13 +111,24 @@
 	if !ok {
 		return 0
 	}
-	return d.tokens * d.decayFactor(now, tokenDecay) / pl.effectiveWindow(now, tokenDecay)
+	return d.decayedTokens(now) / pl.effectiveWindows(now).tokens
 }
 
-// effectiveWindow returns the seconds by which a count that decays with the given
-// time constant is divided to get a rate. It grows from the start of observation
-// towards the time constant.
-func (pl *Planner) effectiveWindow(now time.Time, decay time.Duration) float64 {
-	observed := max(pl.observedTime(now), minObservation).Seconds()
-	return decay.Seconds() * (1 - math.Exp(-observed/decay.Seconds()))
+// windows are the seconds by which counts that decay are divided to get rates, as of
+// a time.
+type windows struct {
+	at       time.Time
+	arrivals float64
+	tokens   float64
+}
+
+// effectiveWindows returns the windows of arrivals and tokens. They grow from the
+// start of observation towards the time constants.
+func (pl *Planner) effectiveWindows(now time.Time) windows {
+	if pl.windows.at != now {
+		observed := max(pl.observedTime(now), minObservation).Seconds()
+		effective := func(decay time.Duration) float64 { return decay.Seconds() * (1 - math.Exp(-observed/decay.Seconds())) }
+		pl.windows = windows{now, effective(demandDecay), effective(tokenDecay)}
+	}
+	return pl.windows
 }
--- a/plan/store.go
+++ b/plan/store.go
@@ -62,7 +62,7 @@
 // storeLoads returns how many loads from the store run or are about to start.
 func (pl *Planner) storeLoads() int {
 	count := 0
-	for _, e := range pl.engines {
+	for _, e := range pl.sorted() {
 		// An order of another coordinator may be such a load.
 		if e.foreignOrder && e.live() || e.pending != nil && e.pending.storeLoad || e.target != "" && pl.source(e, e.target) == fromStore {
 			count++
