Log and count the pauses of streams, and why a response is late

Change: request_ended has the longest gap between two events (gap_ms), the longest time from the read of an event to its write (relay_ms) and the target that was missed (late_by); late means any of them. late_total counts by cause, longest_gap_SERVICE is a histogram.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -53,6 +53,11 @@
 	t.Add(fmt.Sprintf("requests_total{kind=%q,outcome=%q,reason=%q}", kind, outcome, reason), 1)
 }
 
+// CountLate counts a response that missed its targets by kind and cause.
+func (t *Tally) CountLate(kind, cause string) {
+	t.Add(fmt.Sprintf("late_total{kind=%q,cause=%q}", kind, cause), 1)
+}
+
 // Add adds value to the counter of that name.
 func (t *Tally) Add(name string, value int64) {
 	t.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -73,6 +73,7 @@
 	// firstEventAfter is the time from the arrival until the first event was
 	// written to the caller.
 	firstEventAfter time.Duration
+	delivery        delivery
 	// headerSent means that the response's header was written to the caller.
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -100,6 +100,8 @@
 // Metrics records the outcomes of requests and the durations of their stages.
 type Metrics interface {
 	CountRequest(kind, outcome, reason string)
+	// CountLate counts a response that missed its route's targets.
+	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
 }
 
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -121,8 +121,9 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
+		read := time.Now()
 		if n > 0 {
-			x.firstEventWait.FirstEvent(time.Now())
+			x.firstEventWait.FirstEvent(read)
 		}
 		partial = append(partial, buffer[:n]...)
 		if end := wholeEventsLength(partial); end > 0 {
@@ -132,6 +133,7 @@
 			}
 			partial = append(partial[:0], partial[end:]...)
 			flusher.Flush()
+			x.delivery.written(read, time.Now())
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -236,26 +238,22 @@
 	took := time.Since(x.arrived)
 	x.server.Metrics.CountRequest(kind, outcome, reason)
 	x.server.Metrics.ObserveDuration("whole", took)
-	late := x.missedTarget(took)
-	if outcome == "served" && !late && xxhash.Sum64String(x.info.ID)%logOneIn != 0 {
+	late := lateness(x.route, x.firstEventAfter, x.delivery.longestGap, took)
+	if late != "" && outcome == "served" {
+		x.server.Metrics.CountLate(kind, late)
+	}
+	if !x.delivery.lastEvent.IsZero() {
+		x.server.Metrics.ObserveDuration("longest_gap_"+string(x.service), x.delivery.longestGap)
+	}
+	if outcome == "served" && late == "" && xxhash.Sum64String(x.info.ID)%logOneIn != 0 {
 		return
 	}
 	x.log.Info("request_ended", "request", x.info.ID, "outcome", outcome, "reason", reason, "status", status, "route", name,
-		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(), "late", late,
+		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
+		"gap_ms", x.delivery.longestGap.Milliseconds(), "relay_ms", x.delivery.longestRelay.Milliseconds(), "late", late != "", "late_by", late,
 		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
 
-// missedTarget reports whether a response came after its route's target.
-func (x *exchange) missedTarget(took time.Duration) bool {
-	if x.route == nil || x.route.TargetLatency == 0 {
-		return false
-	}
-	if x.route.Kind == site.Streaming {
-		return x.firstEventAfter > x.route.TargetLatency
-	}
-	return took > x.route.TargetLatency
-}
-
 func outcomeOf(status int) string {
 	if status < http.StatusBadRequest {
 		return "served"
