Report at once that a model came into use

Cause: the coordinator evicts what it believes unused, from reports up to 0.5 s old. Change: the first request in flight for a model at an instance makes its next exchange start early, after an eighth of the interval. The coordinator adds each report to sums that its plans use at once, instead of summing all members each 100 ms.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -270,6 +270,87 @@
 	)
 })
 
+var _ = Describe("a request that starts", func() {
+	key := demand.Key{Service: "s", Model: "m"}
+	soon := start.Add(60 * time.Millisecond)
+	// member returns an instance that exchanged with a coordinator at start.
+	member := func() *Loop {
+		l := newLoop("i-2", site.OrderAccepted)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Full: true}, nil, start, start)
+		l.lastExchange = start
+		return l
+	}
+
+	It("is reported early if it is the first of its model", func() {
+		l := member()
+		l.options.Demand.Begin("x", key, "")
+		(<-l.events)(start)
+		l.stepExchange(start.Add(40 * time.Millisecond))
+		Expect(l.lastExchange).To(Equal(start))
+		l.stepExchange(soon)
+		Expect(l.lastExchange).To(Equal(soon))
+		l.exchanging = false
+		l.stepExchange(soon.Add(60 * time.Millisecond))
+		Expect(l.lastExchange).To(Equal(soon))
+	})
+
+	It("is not reported early while others of its model are in flight", func() {
+		l := member()
+		l.options.Demand.Begin("x", key, "")
+		(<-l.events)(start)
+		l.options.Demand.Begin("y", key, "")
+		Expect(l.events).To(BeEmpty())
+		l.options.Demand.End("x", key)
+		l.options.Demand.End("y", key)
+		l.options.Demand.Begin("y", key, "")
+		Expect(l.events).To(HaveLen(1))
+	})
+
+	It("keeps its model from being evicted as soon as it is reported", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		p := l.becomeCoordinator()
+		models := map[cardamom.ModelID]site.Model{}
+		loaded := map[cardamom.ModelID][]string{}
+		disk := map[cardamom.ModelID]bool{}
+		for _, name := range []cardamom.ModelID{"a", "b", "wanted"} {
+			models[name] = site.Model{Name: name, SizeMB: 70, StoreLoadTime: 6 * time.Second, DiskLoadTime: time.Second}
+			disk[name] = true
+		}
+		p.SetSpec(&site.EngineSpec{Slots: 8, MemoryMB: 150, StoreLoadsPerSecond: 3, Models: models})
+		loaded["a"], loaded["b"] = nil, nil
+		p.Report("x", site.Report{AcceptedOrders: 1, Loaded: loaded, OnDisk: disk}, start)
+		p.Remove("y")
+		p.Arrived("a", 1, 100, start)
+		p.Arrived("b", 1, 100, start)
+		l.exchange(&syncpb.ExchangeRequest{Member: &syncpb.Member{Instance: "i-2"}, Demands: []*syncpb.Demand{{Service: "s", Model: "a", Running: 1}}}, start)
+		p.RecordWait("wanted", "", start.Add(time.Second))
+		orders := p.Decide(start)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Order.Kind).To(Equal(site.Unload))
+		Expect(orders[0].Order.Model).To(Equal(cardamom.ModelID("b")))
+	})
+})
+
+var _ = Describe("the sums of the members' reports", func() {
+	It("are those of the last reports, whatever the order", func() {
+		sums := newRequestSums()
+		a, b := modelKey{"s", "a"}, modelKey{"s", "b"}
+		first := memberReport{models: map[modelKey]requestCount{a: {1, 2}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"x": {2, 1}}}
+		second := memberReport{models: map[modelKey]requestCount{b: {0, 1}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"y": {1, 0}}}
+		other := memberReport{models: map[modelKey]requestCount{a: {3, 0}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"x": {1, 0}}}
+		sums.replace(memberReport{}, first)
+		sums.replace(memberReport{}, other)
+		Expect(sums.models).To(Equal(map[modelKey]requestCount{a: {4, 2}}))
+		Expect(sums.replace(first, second)).To(Equal(map[modelKey]bool{a: true, b: true}))
+		Expect(sums.models).To(Equal(map[modelKey]requestCount{a: {3, 0}, b: {0, 1}}))
+		Expect(sums.upstreams).To(Equal(map[cardamom.UpstreamID]UpstreamStats{"x": {1, 0}, "y": {1, 0}}))
+		sums.replace(second, memberReport{})
+		sums.replace(other, memberReport{})
+		Expect(sums.models).To(BeEmpty())
+		Expect(sums.upstreams).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the lease row", func() {
 	known := map[cardamom.ServiceID]plan.StoreConcurrency{"s": {Loads: 2, LimitReached: true}}
 
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -18,6 +18,9 @@
 	// exchangeIntervalPerMember times the number of members is the time between
 	// two exchanges if that is longer than minExchangeInterval.
 	exchangeIntervalPerMember = 8 * time.Millisecond
+	// earlyExchangePercent is the percentage of the exchange interval after which an
+	// exchange may start early.
+	earlyExchangePercent = 12
 	// exchangeTimeout bounds an exchange; one takes a few milliseconds.
 	exchangeTimeout = 600 * time.Millisecond
 	// peerIdleTimeout is how long an idle connection to the coordinator is kept.
@@ -53,12 +56,28 @@
 	return max(minExchangeInterval, time.Duration(len(l.state.members))*exchangeIntervalPerMember)
 }
 
+// earlyExchangeInterval returns the least time between two exchanges, the second of
+// which starts early.
+func (l *Loop) earlyExchangeInterval() time.Duration {
+	return l.exchangeInterval() * earlyExchangePercent / 100
+}
+
+// requestStarted makes the next exchange start early. The coordinator would evict a
+// model that it believes unused, and the unload would wait for the request to end.
+func (l *Loop) requestStarted(demand.Key) {
+	l.post(func(time.Time) { l.reportSoon = true })
+}
+
 // stepExchange starts an exchange with the coordinator if one is due.
 func (l *Loop) stepExchange(now time.Time) {
-	if l.exchanging || now.Sub(l.lastExchange) < l.exchangeInterval() {
+	interval := l.exchangeInterval()
+	if l.reportSoon {
+		interval = l.earlyExchangeInterval()
+	}
+	if l.exchanging || now.Sub(l.lastExchange) < interval {
 		return
 	}
-	l.lastExchange = now
+	l.lastExchange, l.reportSoon = now, false
 	report := l.options.Demand.Take()
 	request := l.report(report)
 	if l.term != nil {
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -98,6 +98,8 @@
 	exchanging bool
 	// lastExchange is when an exchange last began; zero makes the next one due.
 	lastExchange time.Time
+	// reportSoon means that the next exchange need not wait for its interval.
+	reportSoon bool
 	// lastAnswered is when the last exchange that a coordinator answered began.
 	lastAnswered time.Time
 	position     position
@@ -128,11 +130,13 @@
 
 // New returns a loop that has not started.
 func New(options Options) *Loop {
-	return &Loop{
+	l := &Loop{
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventQueueSize), views: newViewStore(),
 		state: &controlState{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), storeConcurrency: make(map[cardamom.ServiceID]plan.StoreConcurrency), removals: make(map[cardamom.UpstreamID]removal), ledger: options.Ledger},
-		lease: lease.New(options.ID, options.LeaseDuration), peers: newPeers(),
+		lease: lease.New(options.ID, options.LeaseDuration), peers: newPeers(), ctx: context.Background(),
 	}
+	options.Demand.OnStart(l.requestStarted)
+	return l
 }
 
 // View returns the current view.
@@ -200,6 +204,9 @@
 			wait = pendingTickInterval
 		}
 	}
+	if l.reportSoon {
+		wait = min(wait, l.earlyExchangeInterval())
+	}
 	if l.viewChanged {
 		l.viewChanged = false
 		view := l.state.view()
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -97,8 +97,8 @@
 		reply.Members = encodeMembers(t.memberList)
 	}
 	sender := t.members[cardamom.InstanceID(request.GetMember().GetInstance())]
-	for id, total := range t.upstreamStats {
-		own := sender.upstreams[id]
+	for id, total := range t.sums.upstreams {
+		own := sender.report.upstreams[id]
 		running, failures := total.Running-own.Running, total.Failures-own.Failures
 		if running > 0 || failures > 0 {
 			reply.Loads = append(reply.Loads, &syncpb.Load{Upstream: string(id), Running: int32(running), Failures: int32(failures)})
@@ -118,18 +118,20 @@
 		t.logger.Info("member_found", "instance", id, "address", request.GetMember().GetEntryAddress())
 	}
 	m.Member, m.lastExchange = decodeMember(request.GetMember()), now
-	m.models = make(map[modelKey]requestCount, len(request.GetDemands()))
-	m.upstreams = make(map[cardamom.UpstreamID]UpstreamStats, len(request.GetLoads()))
+	report := memberReport{
+		models:    make(map[modelKey]requestCount, len(request.GetDemands())),
+		upstreams: make(map[cardamom.UpstreamID]UpstreamStats, len(request.GetLoads())),
+	}
 	for _, d := range request.GetDemands() {
 		key := modelKey{cardamom.ServiceID(d.GetService()), cardamom.ModelID(d.GetModel())}
-		m.models[key] = requestCount{int(d.GetWaiting()), int(d.GetRunning())}
+		report.models[key] = requestCount{int(d.GetWaiting()), int(d.GetRunning())}
 		if p, ok := t.plans[key.service]; ok && d.GetArrivals() > 0 {
 			p.Arrived(key.model, int(d.GetArrivals()), int(d.GetTokens()), now)
 		}
 	}
 	for _, load := range request.GetLoads() {
 		upstream := cardamom.UpstreamID(load.GetUpstream())
-		m.upstreams[upstream] = UpstreamStats{int(load.GetRunning()), int(load.GetFailures())}
+		report.upstreams[upstream] = UpstreamStats{int(load.GetRunning()), int(load.GetFailures())}
 		for _, name := range load.GetAdapters() {
 			model, adapter, _ := strings.Cut(name, "/")
 			for _, p := range t.plans {
@@ -137,6 +139,12 @@
 			}
 		}
 	}
+	for key := range t.sums.replace(m.report, report) {
+		if p, ok := t.plans[key.service]; ok {
+			t.setRequestCounts(p, key)
+		}
+	}
+	m.report = report
 	wall := time.Now()
 	t.loop.state.ledger.Merge(decodeSuspects(request.GetSuspects(), wall), wall)
 }
--- a/coord/term.go
+++ b/coord/term.go
@@ -17,8 +17,8 @@
 	memberTimeout = 2200 * time.Millisecond
 	// maxWantTime bounds how long a model stays wanted after an Await call for it.
 	maxWantTime = 1500 * time.Millisecond
-	// demandSumInterval is the time between two sums of the members' demand.
-	demandSumInterval = 100 * time.Millisecond
+	// memberCheckInterval is the time between two checks for members that are lost.
+	memberCheckInterval = 100 * time.Millisecond
 	// maxRemovedUpstreams bounds the removals that are kept; a member that is
 	// further behind gets the whole list.
 	maxRemovedUpstreams = 512
@@ -47,15 +47,16 @@
 	members        map[cardamom.InstanceID]*member
 	membersVersion uint64
 	memberList     []Member
-	upstreamStats  map[cardamom.UpstreamID]UpstreamStats
+	sums           requestSums
 	awaitCalls     map[*awaitCall]bool
 	ordersPaused   bool
 	// lastStep is when the plans last decided on orders.
 	lastStep time.Time
 	// pending means that orders were sent in the last step or that Await calls
 	// are waiting.
-	pending       bool
-	lastDemandSum time.Time
+	pending bool
+	// lastMemberCheck is when members without recent exchanges were last removed.
+	lastMemberCheck time.Time
 }
 
 // servicePlan is the plan of one service.
@@ -80,18 +81,7 @@
 type member struct {
 	Member
 	lastExchange time.Time
-	models       map[modelKey]requestCount
-	upstreams    map[cardamom.UpstreamID]UpstreamStats
-}
-
-type modelKey struct {
-	service cardamom.ServiceID
-	model   cardamom.ModelID
-}
-
-type requestCount struct {
-	waiting int
-	running int
+	report       memberReport
 }
 
 // awaitCall is a pending call that waits for a model or adapter.
@@ -109,7 +99,7 @@
 		number: uint64(l.lease.FencingToken()), fresh: fresh, loop: l, logger: l.logger,
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
-		upstreamStats: make(map[cardamom.UpstreamID]UpstreamStats), awaitCalls: make(map[*awaitCall]bool),
+		sums: newRequestSums(), awaitCalls: make(map[*awaitCall]bool),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
@@ -208,9 +198,9 @@
 func (l *Loop) stepTerm(now time.Time) bool {
 	t := l.term
 	t.adopt(now)
-	if now.Sub(t.lastDemandSum) >= demandSumInterval {
-		t.lastDemandSum = now
-		t.countDemand(now)
+	if now.Sub(t.lastMemberCheck) >= memberCheckInterval {
+		t.lastMemberCheck = now
+		t.checkMembers(now)
 	}
 	pending := len(t.awaitCalls) > 0
 	allowed := l.lease.MayOrder(now, l.options.Fenced)
@@ -262,33 +252,22 @@
 	p.publishedChange = p.Version()
 }
 
-// countDemand removes members whose last exchange is too old and sums the
-// demand of the others.
-func (t *term) countDemand(now time.Time) {
-	sums := make(map[modelKey]requestCount)
-	stats := make(map[cardamom.UpstreamID]UpstreamStats)
+// checkMembers removes members whose last exchange is too old, and sets the plans'
+// request counts to the sums over the others.
+func (t *term) checkMembers(now time.Time) {
 	var members []Member
 	for id, m := range t.members {
 		if now.Sub(m.lastExchange) > memberTimeout {
 			t.logger.Info("member_lost", "instance", id, "silent_ms", now.Sub(m.lastExchange).Milliseconds())
+			t.sums.replace(m.report, memberReport{})
 			delete(t.members, id)
 			continue
 		}
 		members = append(members, m.Member)
-		for key, c := range m.models {
-			sum := sums[key]
-			sums[key] = requestCount{sum.waiting + c.waiting, sum.running + c.running}
-		}
-		for upstream, seen := range m.upstreams {
-			sum := stats[upstream]
-			stats[upstream] = UpstreamStats{sum.Running + seen.Running, sum.Failures + seen.Failures}
-		}
 	}
-	t.upstreamStats = stats
 	for name, p := range t.plans {
 		for _, model := range p.KnownModels() {
-			c := sums[modelKey{name, model}]
-			p.SetRequestCounts(model, c.waiting, c.running)
+			t.setRequestCounts(p, modelKey{name, model})
 		}
 	}
 	sortMembers(members)
@@ -300,6 +279,12 @@
 	}
 }
 
+// setRequestCounts passes the sums of a model's requests to its plan.
+func (t *term) setRequestCounts(p *servicePlan, key modelKey) {
+	c := t.sums.models[key]
+	p.SetRequestCounts(key.model, c.waiting, c.running)
+}
+
 // answerAwaitCalls answers the calls whose model is ready or whose time is up.
 func (t *term) answerAwaitCalls(now time.Time) {
 	for a := range t.awaitCalls {
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -53,6 +53,7 @@
 	mu        sync.Mutex
 	models    map[Key]*Model
 	upstreams map[cardamom.UpstreamID]*Upstream
+	onStart   func(key Key)
 }
 
 // New returns an empty counter.
@@ -60,6 +61,10 @@
 	return &Counter{models: make(map[Key]*Model), upstreams: make(map[cardamom.UpstreamID]*Upstream)}
 }
 
+// OnStart sets the function to call when a model gets its first request in flight. It
+// must be set before requests are counted.
+func (c *Counter) OnStart(onStart func(key Key)) { c.onStart = onStart }
+
 func (c *Counter) model(key Key) *Model {
 	m, ok := c.models[key]
 	if !ok {
@@ -97,20 +102,30 @@
 
 // Begin counts a request that is sent to an upstream.
 func (c *Counter) Begin(id cardamom.UpstreamID, key Key, adapter string) {
+	if c.begin(id, key, adapter) && c.onStart != nil {
+		c.onStart(key)
+	}
+}
+
+// begin counts a request and reports whether it is the only one of its model in
+// flight.
+func (c *Counter) begin(id cardamom.UpstreamID, key Key, adapter string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upstream(id)
 	u.Running++
 	if key.Model == "" {
-		return
+		return false
 	}
-	c.model(key).Running++
+	m := c.model(key)
+	m.Running++
 	if adapter != "" {
 		if u.Adapters == nil {
 			u.Adapters = make(map[string]bool)
 		}
 		u.Adapters[string(key.Model)+"/"+adapter] = true
 	}
+	return m.Running == 1
 }
 
 // End counts the end of a request at an upstream.
