Bound an order by the time at which another instance may take the lease

Whether an order may be sent is checked when the plan decides; the goroutine that sends it may run much later on a machine short of processor time, and engines there do not check fencing tokens. Change: an order's context ends at four fifths of the lease, counted from the clock as it is when the order is handed over. Result: a spec that sends an order after that time.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -26,7 +26,7 @@
 }
 
 // engines is a fake of the engines that gives all orders the same result and
-// sends no reports.
+// sends no reports. Orders whose context has ended are not answered.
 type engines struct {
 	result site.OrderResult
 }
@@ -35,7 +35,10 @@
 	return site.Report{}, eris.New("connection refused")
 }
 
-func (e engines) Send(context.Context, cardamom.Upstream, site.Order) site.OrderResult {
+func (e engines) Send(ctx context.Context, _ cardamom.Upstream, _ site.Order) site.OrderResult {
+	if ctx.Err() != nil {
+		return site.OrderUnknown
+	}
 	return e.result
 }
 
@@ -384,6 +387,7 @@
 var _ = Describe("an order", func() {
 	It("that an engine refuses because of its fencing token ends the term", func() {
 		l := newLoop("i-1", site.OrderFenced)
+		l.options.Fenced = true
 		p := l.becomeCoordinator()
 		p.RecordWait("m", "", start.Add(time.Second))
 		l.sendOrder("s", plan.PlannedOrder{Upstream: cardamom.Upstream{ID: "y"}, Order: site.Order{Kind: site.Load, Model: "m"}})
@@ -392,8 +396,24 @@
 		Expect(l.lease.Held()).To(BeFalse())
 	})
 
+	DescribeTable("is sent only while no other instance can have taken the lease",
+		func(fenced bool, sinceRenewal time.Duration, sent bool) {
+			l := newLoop("i-1", site.OrderAccepted)
+			l.options.Fenced = fenced
+			l.becomeCoordinator()
+			ctx, cancel := l.orderContext(start.Add(sinceRenewal))
+			defer cancel()
+			result := l.options.Engines.Send(ctx, cardamom.Upstream{ID: "y"}, site.Order{Kind: site.Load, Model: "m"})
+			Expect(result == site.OrderAccepted).To(Equal(sent))
+		},
+		Entry("just after a renewal", false, 100*time.Millisecond, true),
+		Entry("not after four fifths of the lease", false, 2400*time.Millisecond, false),
+		Entry("later, if engines would refuse it", true, 2400*time.Millisecond, true),
+	)
+
 	It("from an earlier term does not affect the next", func() {
 		l := newLoop("i-1", site.OrderFenced)
+		l.options.Fenced = true
 		l.becomeCoordinator()
 		l.sendOrder("s", plan.PlannedOrder{Upstream: cardamom.Upstream{ID: "y"}, Order: site.Order{Kind: site.Load, Model: "m"}})
 		event := <-l.events
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -1,9 +1,11 @@
 package coord
 
 import (
+	"context"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -19,8 +21,10 @@
 	number := l.term.number
 	order := planned.Order
 	order.Holder, order.FencingToken = l.options.ID, cardamom.Fence(number)
+	ctx, cancel := l.orderContext(clock.Now())
 	go func() {
-		result := l.options.Engines.Send(l.ctx, planned.Upstream, order)
+		defer cancel()
+		result := l.options.Engines.Send(ctx, planned.Upstream, order)
 		l.logger.Info("order_given", "order", order.Kind, "model", order.Model, "adapter", order.Adapter, "upstream", planned.Upstream.ID,
 			"reason", planned.Reason, "purpose", planned.Target, "source", planned.Source, "at_hand", planned.LocalEngines, "expect", order.ExpectedOrders, "fence", number, "outcome", resultNames[result])
 		l.post(func(now time.Time) {
@@ -40,6 +44,17 @@
 	}()
 }
 
+// orderContext returns the context of an order. It ends when another instance may have
+// taken the lease: on a machine short of processor time, an order may otherwise leave
+// long after the plan decided on it.
+func (l *Loop) orderContext(now time.Time) (context.Context, context.CancelFunc) {
+	until := l.lease.OrdersUntil(l.options.Fenced)
+	if until.IsZero() {
+		return context.WithCancel(l.ctx)
+	}
+	return context.WithTimeout(l.ctx, until.Sub(now))
+}
+
 // requestReport reads an engine's report and passes it, or its absence, to the
 // plan.
 func (l *Loop) requestReport(service cardamom.ServiceID, upstream cardamom.Upstream) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -186,6 +186,16 @@
 	return s.Valid(now) || (fenced && s.held && now.Sub(s.lastOutage) < outageGrace)
 }
 
+// OrdersUntil returns the time until which an order may be on its way to an engine, the
+// zero time if there is no such limit: where engines check fencing tokens, they refuse
+// an order that arrives too late.
+func (s *State) OrdersUntil(fenced bool) time.Time {
+	if fenced {
+		return time.Time{}
+	}
+	return s.lastRenewal.Add(s.duration * validPercent / 100)
+}
+
 // FencingToken returns the fencing token of the current term.
 func (s *State) FencingToken() cardamom.Fence { return s.fencingToken }
 
