Hold prompts back while an engine reads others

The pauses are stalls of a whole engine: 10 to 27 streams of a busy model stop at once while 10,000 to 25,000 prompt tokens arrive within 0.45 s at one of its two or three replicas, which read 38 a ms between the events; the other engines are idle. Change: an instance sends one engine no more prompt tokens within the route's target gap than a window allows, one prompt at least, prefers replicas with room, and else holds the prompt back while its first event is expected in half of its target. The window is learned: it shrinks with each long gap in which the instance took part and grows while it is used and gaps are short. The decision is pick.Choose, a function of the request and its candidates; held_ms is logged.

--- a/logs/words.go
+++ b/logs/words.go
@@ -98,6 +98,7 @@
 	"gap_ms":      "longest time between two events relayed to the caller, in milliseconds",
 	"fresh":       "whether there was no coordinator before",
 	"grace_ms":    "time left to shut down, in milliseconds",
+	"held_ms":     "time for which the prompt was held back from engines that had just got others, in milliseconds",
 	"holder":      "instance that holds a cell or lease",
 	"instance":    "instance that the event is about",
 	"key":         "key of a row or of a request",
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,16 +1,22 @@
-// Package pace estimates how long a request waits at an upstream for its first
-// event, from the current and recent waits of the instance's own requests.
+// Package pace observes, in the instance's own requests, how engines slow down with
+// their load: how long requests wait for the first event, and how long the gaps
+// between two events of a stream are.
 //
-// It guards against overloaded engines: an engine that receives prompts faster
-// than it processes them makes new requests wait longer than their callers do.
+// The waits guard against overloaded engines: an engine that receives prompts faster
+// than it processes them makes new requests wait longer than their callers do. The gaps
+// set a window, which bounds the prompt tokens that are sent to one engine at a time,
+// against bursts of prompts for the few busy models.
 //
 // # Usage
 //
 //	tracker := pace.New()
-//	wait := tracker.Sent(upstream, now)
-//	expected := tracker.Expected(upstream, now)
-//	wait.FirstEvent(now) // if an event arrives
-//	wait.Ended()
+//	if tracker.RecentTokens(upstream, targetGap, now)+tokens <= tracker.Window(service) {
+//	    wait := tracker.Sent(service, upstream, tokens, now)
+//	    expected := tracker.Expected(upstream, now)
+//	    wait.FirstEvent(now) // if an event arrives
+//	    tracker.Gap(service, upstream, gap, targetGap, now) // at each further event
+//	    wait.Ended(now)
+//	}
 package pace
 
 import (
@@ -32,13 +38,16 @@
 type Tracker struct {
 	mu        sync.Mutex
 	upstreams map[cardamom.UpstreamID]*upstreamWaits
+	windows   map[cardamom.ServiceID]*promptWindow
 }
 
-// upstreamWaits are the open waits at one upstream and the average of recent ones.
+// upstreamWaits are the open waits at one upstream, the average of recent ones, and the
+// prompts that were sent recently.
 type upstreamWaits struct {
 	waits      map[*Wait]time.Time
 	average    time.Duration
 	averagedAt time.Time
+	recent     []sentPrompt
 }
 
 // Wait is the wait of one request for its first event.
@@ -48,10 +57,13 @@
 }
 
 // New returns an empty tracker.
-func New() *Tracker { return &Tracker{upstreams: make(map[cardamom.UpstreamID]*upstreamWaits)} }
+func New() *Tracker {
+	return &Tracker{upstreams: make(map[cardamom.UpstreamID]*upstreamWaits), windows: make(map[cardamom.ServiceID]*promptWindow)}
+}
 
-// Sent records that a request is sent to an upstream.
-func (t *Tracker) Sent(id cardamom.UpstreamID, now time.Time) *Wait {
+// Sent records that a request with a prompt of the given size is sent to an upstream of
+// the service.
+func (t *Tracker) Sent(service cardamom.ServiceID, id cardamom.UpstreamID, tokens int, now time.Time) *Wait {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[id]
@@ -61,6 +73,7 @@
 	}
 	wait := &Wait{tracker: t, upstream: id}
 	s.waits[wait] = now
+	t.prompt(s, service, tokens, now)
 	return wait
 }
 
@@ -87,7 +100,7 @@
 }
 
 // Ended records that the request has ended, with or without a first event.
-func (w *Wait) Ended() {
+func (w *Wait) Ended(now time.Time) {
 	w.tracker.mu.Lock()
 	defer w.tracker.mu.Unlock()
 	s, ok := w.tracker.upstreams[w.upstream]
@@ -95,7 +108,7 @@
 		return
 	}
 	delete(s.waits, w)
-	if len(s.waits) == 0 && time.Since(s.averagedAt) > averageTTL {
+	if len(s.waits) == 0 && now.Sub(s.averagedAt) > averageTTL {
 		delete(w.tracker.upstreams, w.upstream)
 	}
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -1,11 +1,17 @@
-// Package pick chooses the upstream for a request.
+// Package pick decides whether a request is sent now, and to which upstream.
 //
-// It is designed for few replicas of a model, prompts that share a prefix, and
-// upstreams that fail part of their requests.
+// It is designed for few replicas of a model, prompts that share a prefix or come in
+// bursts, and upstreams that fail part of their requests.
 //
 // # Usage
 //
-//	best, ok := pick.Best(candidates, info.SharedPrefix)
+//	choice := pick.Choose(pick.Request{Prefix: info.SharedPrefix, Remaining: remaining}, candidates)
+//	switch choice.Action {
+//	case pick.Send:
+//	    // send it to choice.Upstream
+//	case pick.Hold:
+//	    // ask again a moment later
+//	}
 package pick
 
 import (
@@ -51,6 +57,10 @@
 	SameDataCentre bool
 	// Expected is how long the first event is expected to take.
 	Expected time.Duration
+	// RecentTokens are the prompt tokens that this instance sent to it just now.
+	RecentTokens int
+	// Avoided means that it failed or rejected the request before.
+	Avoided bool
 }
 
 // Full reports whether the candidate can run no further request now.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -68,7 +68,10 @@
 	lastUpstream  cardamom.UpstreamID
 	// waited is the time spent waiting for a model or a slot, negative once the
 	// request has ended.
-	waited         time.Duration
+	waited time.Duration
+	// held is the time for which the prompt was held back from engines that had just
+	// got others.
+	held           time.Duration
 	firstEventWait *pace.Wait
 	// firstEventAfter is the time from the arrival until the first event was
 	// written to the caller.
@@ -148,8 +151,8 @@
 		Header: s.Dialect.ForwardHeader(endToEnd(x.r.Header), ForwardOptions{Upstream: upstream.ID, Remaining: time.Until(x.deadline()), LastEventID: lastEventID, StartPriority: x.route.Urgency()}),
 	}
 	x.lastUpstream, x.reportedReady = upstream.ID, false
-	x.firstEventWait = s.Pace.Sent(upstream.ID, now)
-	defer x.firstEventWait.Ended()
+	x.firstEventWait = s.Pace.Sent(x.service, upstream.ID, x.info.PromptTokens, now)
+	defer func() { x.firstEventWait.Ended(time.Now()) }()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
 	if errors.Is(err, conns.ErrNotSent) {
 		return x.handleNotSent(upstream, err)
--- a/relay/find.go
+++ b/relay/find.go
@@ -9,6 +9,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/await"
+	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -22,6 +23,9 @@
 	// recheckInterval is the interval at which waiting requests check for a slot
 	// again, since slots that other instances' requests free are not signalled.
 	recheckInterval = 25 * time.Millisecond
+	// holdInterval is the interval at which a prompt that is held back is considered
+	// again.
+	holdInterval = 10 * time.Millisecond
 	// retryPause is the pause before a request is sent again to an upstream that
 	// failed it, since the upstream may be shutting down.
 	retryPause = 60 * time.Millisecond
@@ -97,72 +101,99 @@
 	s := x.server
 	view := s.Views.View()
 	now := time.Now()
-	_, needsModel := x.modelEngine()
-	// fallback are the avoided upstreams, used if there is no other.
-	var candidates, fallback []pick.Candidate
+	found := x.candidates(view, now)
+	choice := pick.Choose(pick.Request{
+		Prefix: x.info.SharedPrefix, Tokens: x.info.PromptTokens, Window: x.window(),
+		Age: now.Sub(x.arrived), Target: x.route.TargetLatency, Remaining: x.remaining(now),
+	}, found.usable)
+	switch choice.Action {
+	case pick.Send, pick.SendAgain:
+		if choice.Action == pick.SendAgain {
+			x.sleep(retryPause)
+		}
+		upstream, _ := view.Upstream(choice.Upstream)
+		return upstream, s.availability.notifyFreed, true
+	case pick.Hold:
+		x.hold(now)
+	case pick.TooSlow:
+		x.markEnded()
+		x.giveUp("upstreams_slow")
+	default:
+		x.awaitUpstream(found, choice.Action == pick.Full)
+	}
+	return nil, nil, false
+}
+
+// candidates are the upstreams that could run a request.
+type candidates struct {
+	usable []pick.Candidate
 	// suspected engines have the model and could not be reached by this instance.
-	var suspected []cardamom.UpstreamID
-	listed, tooSlow := 0, 0
+	suspected []cardamom.UpstreamID
+	// listed is the number of live upstreams of the service.
+	listed int
+	// needsModel means that the request needs an engine with its model.
+	needsModel bool
+}
+
+// candidates returns the upstreams that could run the request.
+func (x *exchange) candidates(view *coord.View, now time.Time) candidates {
+	s := x.server
+	found := candidates{}
+	_, found.needsModel = x.modelEngine()
 	for _, upstream := range view.Upstreams(x.service) {
 		if upstream.State != cardamom.Live {
 			continue
 		}
-		listed++
-		if needsModel && (!upstream.HasLoaded(x.info.Model, x.info.Adapter) || s.availability.lacks(upstream, x.info, now)) {
+		found.listed++
+		if found.needsModel && (!upstream.HasLoaded(x.info.Model, x.info.Adapter) || s.availability.lacks(upstream, x.info, now)) {
 			continue
 		}
 		suspended := s.Health.Suspended(upstream.ID, now)
-		if suspended && needsModel && !x.ignoreSuspension {
-			suspected = append(suspected, upstream.ID)
+		if suspended && found.needsModel && !x.ignoreSuspension {
+			found.suspected = append(found.suspected, upstream.ID)
 			continue
 		}
 		others := view.PeerStats(upstream.ID)
-		var expected time.Duration
-		if needsModel {
-			expected = s.Pace.Expected(upstream.ID, now)
-			if expected > x.remaining(now) {
-				// A request sent now would get its first event too late.
-				tooSlow++
-				continue
-			}
-		}
-		limit := upstream.Slots
-		if limit > 0 && !needsModel {
-			limit += plainQueueSlots
-		}
 		candidate := pick.Candidate{
-			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: limit,
+			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: upstream.Slots,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
-			Suspended: suspended, SameDataCentre: upstream.DataCentre == s.DataCentre,
-			Expected: expected,
+			Suspended: suspended, SameDataCentre: upstream.DataCentre == s.DataCentre, Avoided: x.avoided[upstream.ID],
 		}
-		if x.avoided[upstream.ID] {
-			fallback = append(fallback, candidate)
-		} else {
-			candidates = append(candidates, candidate)
+		switch {
+		case found.needsModel:
+			candidate.Expected = s.Pace.Expected(upstream.ID, now)
+			candidate.RecentTokens = s.Pace.RecentTokens(upstream.ID, x.route.TargetGap, now)
+		case candidate.Limit > 0:
+			candidate.Limit += plainQueueSlots
 		}
+		found.usable = append(found.usable, candidate)
 	}
-	if len(candidates) == 0 && len(fallback) > 0 {
-		x.sleep(retryPause)
-		candidates = fallback
-	}
-	if id, ok := pick.Best(candidates, x.info.SharedPrefix); ok {
-		upstream, _ := view.Upstream(id)
-		return upstream, s.availability.notifyFreed, true
+	return found
+}
+
+// window returns how many prompt tokens may be sent to one engine within the target
+// gap of the route, 0 if that is not limited.
+func (x *exchange) window() int {
+	if x.route.TargetGap == 0 {
+		return 0
 	}
-	if tooSlow > 0 && len(candidates) == 0 {
-		x.markEnded()
-		x.giveUp("upstreams_slow")
-		return nil, nil, false
+	return x.server.Pace.Window(x.service)
+}
+
+// hold waits a moment before the request is considered again.
+func (x *exchange) hold(now time.Time) {
+	timer := time.NewTimer(holdInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-x.ctx.Done():
 	}
-	x.awaitUpstream(needsModel, suspected, len(candidates), listed)
-	return nil, nil, false
+	x.held += time.Since(now)
 }
 
-// awaitUpstream waits for a model or a slot, or ends the request. busy is the
-// number of upstreams that could run the request but have no free slot, listed
-// the number of live upstreams of the service.
-func (x *exchange) awaitUpstream(needsModel bool, suspected []cardamom.UpstreamID, busy, listed int) {
+// awaitUpstream waits for a model or a slot, or ends the request. full means that the
+// upstreams that could run the request have no free slot.
+func (x *exchange) awaitUpstream(found candidates, full bool) {
 	began := time.Now()
 	defer func() {
 		if x.waited >= 0 {
@@ -171,11 +202,11 @@
 		}
 	}()
 	switch {
-	case busy > 0:
+	case full:
 		x.awaitSlot(began)
-	case needsModel && (x.runs == 0 || x.route.Repeatable()):
-		x.awaitModel(suspected)
-	case listed == 0 && time.Since(x.arrived) < defaultRetryDelay:
+	case found.needsModel && (x.runs == 0 || x.route.Repeatable()):
+		x.awaitModel(found.suspected)
+	case found.listed == 0 && time.Since(x.arrived) < defaultRetryDelay:
 		x.sleep(recheckInterval)
 	default:
 		x.markEnded()
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -118,6 +118,7 @@
 func (x *exchange) forwardStream(upstream *site.Upstream, response *conns.Response) bool {
 	flusher, _ := x.w.(http.Flusher)
 	var partial []byte
+	var lastEvent time.Time
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
@@ -134,6 +135,10 @@
 			partial = append(partial[:0], partial[end:]...)
 			flusher.Flush()
 			x.delivery.written(read, time.Now())
+			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
+				x.server.Pace.Gap(x.service, upstream.ID, read.Sub(lastEvent), x.route.TargetGap, read)
+			}
+			lastEvent = read
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -249,7 +254,7 @@
 		return
 	}
 	x.log.Info("request_ended", "request", x.info.ID, "outcome", outcome, "reason", reason, "status", status, "route", name,
-		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
+		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "held_ms", x.held.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
 		"gap_ms", x.delivery.longestGap.Milliseconds(), "relay_ms", x.delivery.longestRelay.Milliseconds(), "late", late != "", "late_by", late,
 		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
