Let strong instances take the lease first, also after it has expired

Cause: an instance with a weak processor or link waits 1.5 s before it takes the lease, counted from when it lost its coordinator. A lease expires 3.3 s after its last renewal, so that the wait was over by then and 58 weak instances raced with 6 strong ones, of which most read the lease only every 2 s, as standbys are chosen by name. Change: a weak instance waits from the time at which the lease became free, also if it held it before; members tell whether they are weak, and standbys are chosen among the strong ones.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -40,13 +40,13 @@
 func encodeMembers(members []Member) []*syncpb.Member {
 	list := make([]*syncpb.Member, 0, len(members))
 	for _, m := range members {
-		list = append(list, &syncpb.Member{Instance: string(m.ID), EntryAddress: m.EntryAddress, SyncAddress: m.SyncAddress, Leaving: m.Leaving})
+		list = append(list, &syncpb.Member{Instance: string(m.ID), EntryAddress: m.EntryAddress, SyncAddress: m.SyncAddress, Leaving: m.Leaving, Weak: m.Weak})
 	}
 	return list
 }
 
 func decodeMember(wire *syncpb.Member) Member {
-	return Member{ID: cardamom.InstanceID(wire.GetInstance()), EntryAddress: wire.GetEntryAddress(), SyncAddress: wire.GetSyncAddress(), Leaving: wire.GetLeaving()}
+	return Member{ID: cardamom.InstanceID(wire.GetInstance()), EntryAddress: wire.GetEntryAddress(), SyncAddress: wire.GetSyncAddress(), Leaving: wire.GetLeaving(), Weak: wire.GetWeak()}
 }
 
 func sortMembers(members []Member) {
--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -273,6 +273,66 @@
 	)
 })
 
+var _ = Describe("an instance without a coordinator", func() {
+	renewed := lease.Row{Version: 9, Holder: "i-1", Address: "i-1:2"}
+
+	DescribeTable("may take the lease",
+		func(id cardamom.InstanceID, delay time.Duration, row lease.Row, since time.Duration, expected bool) {
+			l := newLoop(id, site.OrderAccepted)
+			l.options.TakeoverDelay = delay
+			l.noCoordinatorSince = start
+			l.observe(row, start)
+			Expect(l.mayTake(start.Add(since))).To(Equal(expected))
+		},
+		Entry("if it is strong, when the lease expires", cardamom.InstanceID("i-2"), time.Duration(0), renewed, 3300*time.Millisecond, true),
+		Entry("if it is weak, not when the lease expires", cardamom.InstanceID("i-2"), 1500*time.Millisecond, renewed, 3300*time.Millisecond, false),
+		Entry("if it is weak, when no strong one has taken it", cardamom.InstanceID("i-2"), 1500*time.Millisecond, renewed, 4800*time.Millisecond, true),
+		Entry("if it is weak, not at once though it held the lease before it started again", cardamom.InstanceID("i-1"), 1500*time.Millisecond, renewed, 2*time.Second, false),
+		Entry("if it is strong, at once if the lease was released", cardamom.InstanceID("i-2"), time.Duration(0), lease.Row{Version: 9, Released: true}, time.Duration(0), true),
+		Entry("if it is weak, later if the lease was released", cardamom.InstanceID("i-2"), 1500*time.Millisecond, lease.Row{Version: 9, Released: true}, time.Second, false),
+		Entry("if it is weak, after its delay if nobody ever held it", cardamom.InstanceID("i-2"), 1500*time.Millisecond, lease.Row{}, 1500*time.Millisecond, true),
+	)
+
+	// members returns weak members with the given names and one strong one.
+	members := func(names ...cardamom.InstanceID) []Member {
+		list := []Member{{ID: "strong"}}
+		for _, name := range names {
+			list = append(list, Member{ID: name, Weak: true})
+		}
+		return list
+	}
+
+	It("reads the lease often if it is one of few strong members", func() {
+		l := newLoop("strong", site.OrderAccepted)
+		l.state.members = members("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k")
+		Expect(l.leaseReadBackoff()).To(Equal(leaseReadInterval))
+	})
+
+	It("reads it rarely if it is weak and there are strong members", func() {
+		l := newLoop("a", site.OrderAccepted)
+		l.options.TakeoverDelay = time.Second
+		l.state.members = members("a", "b", "c", "d", "e", "f")
+		Expect(l.leaseReadBackoff()).To(Equal(idleLeaseReadInterval))
+	})
+
+	It("is a standby by its name if all members are weak", func() {
+		often := 0
+		var all []Member
+		for i := range 20 {
+			all = append(all, Member{ID: cardamom.InstanceID(rune('a' + i)), Weak: true})
+		}
+		for _, m := range all {
+			l := newLoop(m.ID, site.OrderAccepted)
+			l.options.TakeoverDelay = time.Second
+			l.state.members = all
+			if l.leaseReadBackoff() == leaseReadInterval {
+				often++
+			}
+		}
+		Expect(often).To(Equal(6))
+	})
+})
+
 var _ = Describe("a request that starts", func() {
 	key := demand.Key{Service: "s", Model: "m"}
 	soon := start.Add(60 * time.Millisecond)
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -131,7 +131,7 @@
 // report returns the request of an exchange.
 func (l *Loop) report(report demand.Report) *syncpb.ExchangeRequest {
 	request := &syncpb.ExchangeRequest{
-		Member: encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving}})[0],
+		Member: encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving, Weak: l.weak()}})[0],
 		Tenure: l.position.term, Change: l.position.change, Members: l.position.members,
 		Suspects: encodeSuspects(l.state.ledger.Suspects(time.Now())),
 	}
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,7 +89,7 @@
 	switch l.lease.Next(now) {
 	case lease.Take:
 		switch {
-		case l.hasCoordinator(now) || now.Sub(l.noCoordinatorSince) < l.options.TakeoverDelay:
+		case !l.mayTake(now):
 		case now.Sub(l.lastLeaseRead) < 2*leaseReadInterval:
 			l.writeLease(now)
 		case now.Sub(l.lastLeaseCall) >= leaseReadInterval:
@@ -110,17 +111,36 @@
 // are many members only the standbys read it often; the others read it rarely.
 func (l *Loop) leaseReadBackoff() time.Duration {
 	members := l.state.members
-	if len(members) <= minStandbys || l.options.TakeoverDelay == 0 && l.isStandby(members) {
+	if len(members) <= minStandbys || l.isStandby(members) {
 		return min(leaseReadInterval<<min(l.leaseFailures, 4), maxBackoff)
 	}
 	return idleLeaseReadInterval
 }
 
-// isStandby reports whether this instance is a standby, by the hash of its name.
+// weak reports whether this instance leaves the lease to others.
+func (l *Loop) weak() bool { return l.options.TakeoverDelay > 0 }
+
+// mayTake reports whether this instance may take a free lease now. A weak instance
+// waits from the time at which the lease became free, since stronger ones could not
+// take it before either.
+func (l *Loop) mayTake(now time.Time) bool {
+	delay := l.options.TakeoverDelay
+	return !l.hasCoordinator(now) && now.Sub(l.noCoordinatorSince) >= delay && now.Sub(l.lease.FreeSince()) >= delay
+}
+
+// isStandby reports whether this instance is a standby, by the hash of its name. Weak
+// instances are standbys only if all members are weak.
 func (l *Loop) isStandby(members []Member) bool {
+	preferred := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Weak })
+	switch {
+	case len(preferred) == 0:
+		preferred = members
+	case l.weak():
+		return false
+	}
 	before := 0
 	own := xxhash.Sum64String(string(l.options.ID))
-	for _, m := range members {
+	for _, m := range preferred {
 		if xxhash.Sum64String(string(m.ID)) < own {
 			before++
 		}
--- a/coord/view.go
+++ b/coord/view.go
@@ -41,6 +41,9 @@
 	SyncAddress string
 	// Leaving means that the member is shutting down.
 	Leaving bool
+	// Weak means that its processor or link is too weak for a coordinator, so that
+	// others take the lease first.
+	Weak bool
 }
 
 // View is what an instance knows at one moment. It is immutable.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// FreeSince returns when the lease became free to take, the zero time if nobody has
+// held it yet.
+func (s *State) FreeSince() time.Time {
+	switch {
+	case !s.rowKnown || s.row.Version == 0:
+		return time.Time{}
+	case s.row.Released:
+		return s.rowRenewed
+	default:
+		return s.rowRenewed.Add(s.duration * expiryPercent / 100)
+	}
+}
+
 // Version returns the version that the next write expects the row to have.
 func (s *State) Version() uint64 { return s.row.Version }
 
