Add a load test of the deciding packages in virtual time

Package simul plays callers, instances, a coordinator and engines on one event queue: the real pick, pace, plan, demand, retry and health decide, counters are as old as the exchanges make them, engines read prompts in pieces between tokens, preempt, load, drain, crash and leave. The sums over the members' reports moved to package demand, so that both use them.

--- a/cmd/cardload/main.go
+++ b/cmd/cardload/main.go
@@ -13,6 +13,7 @@
 //
 //	cardload run --scenario scenarios/mixed.jsonc --programs bin
 //	cardload overhead --programs bin
+//	cardload simulate --scenario scenarios/load/busy.jsonc --without hold
 //
 // Every scenario has a time limit.
 package main
@@ -35,6 +36,6 @@
 	root := &cobra.Command{
 		Use: "cardload", Short: "Run load and fault experiments", SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), overheadCommand(), stormCommand(), overloadCommand(), frontierCommand(), spreadCommand(), capacityCommand(), soakCommand())
+	root.AddCommand(runCommand(), overheadCommand(), stormCommand(), overloadCommand(), frontierCommand(), spreadCommand(), capacityCommand(), soakCommand(), simulateCommand())
 	return root
 }
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
 )
@@ -49,6 +50,26 @@
 	return Member{ID: cardamom.InstanceID(wire.GetInstance()), EntryAddress: wire.GetEntryAddress(), SyncAddress: wire.GetSyncAddress(), Leaving: wire.GetLeaving(), Weak: wire.GetWeak()}
 }
 
+// decodeReport returns the counts of requests that a member reports.
+func decodeReport(request *syncpb.ExchangeRequest) demand.Report {
+	report := demand.Report{
+		Models:    make(map[demand.Key]demand.Model, len(request.GetDemands())),
+		Upstreams: make(map[cardamom.UpstreamID]demand.Upstream, len(request.GetLoads())),
+	}
+	for _, d := range request.GetDemands() {
+		key := demand.Key{Service: cardamom.ServiceID(d.GetService()), Model: cardamom.ModelID(d.GetModel())}
+		report.Models[key] = demand.Model{Arrivals: int(d.GetArrivals()), Tokens: int(d.GetTokens()), Waiting: int(d.GetWaiting()), Running: int(d.GetRunning())}
+	}
+	for _, load := range request.GetLoads() {
+		upstream := demand.Upstream{Running: int(load.GetRunning()), Failures: int(load.GetFailures()), Adapters: make(map[string]bool, len(load.GetAdapters()))}
+		for _, name := range load.GetAdapters() {
+			upstream.Adapters[name] = true
+		}
+		report.Upstreams[cardamom.UpstreamID(load.GetUpstream())] = upstream
+	}
+	return report
+}
+
 func sortMembers(members []Member) {
 	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
 }
--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -394,26 +394,6 @@
 	})
 })
 
-var _ = Describe("the sums of the members' reports", func() {
-	It("are those of the last reports, whatever the order", func() {
-		sums := newRequestSums()
-		a, b := modelKey{"s", "a"}, modelKey{"s", "b"}
-		first := memberReport{models: map[modelKey]requestCount{a: {1, 2}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"x": {2, 1}}}
-		second := memberReport{models: map[modelKey]requestCount{b: {0, 1}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"y": {1, 0}}}
-		other := memberReport{models: map[modelKey]requestCount{a: {3, 0}}, upstreams: map[cardamom.UpstreamID]UpstreamStats{"x": {1, 0}}}
-		sums.replace(memberReport{}, first)
-		sums.replace(memberReport{}, other)
-		Expect(sums.models).To(Equal(map[modelKey]requestCount{a: {4, 2}}))
-		Expect(sums.replace(first, second)).To(Equal(map[modelKey]bool{a: true, b: true}))
-		Expect(sums.models).To(Equal(map[modelKey]requestCount{a: {3, 0}, b: {0, 1}}))
-		Expect(sums.upstreams).To(Equal(map[cardamom.UpstreamID]UpstreamStats{"x": {1, 0}, "y": {1, 0}}))
-		sums.replace(second, memberReport{})
-		sums.replace(other, memberReport{})
-		Expect(sums.models).To(BeEmpty())
-		Expect(sums.upstreams).To(BeEmpty())
-	})
-})
-
 var _ = Describe("the lease row", func() {
 	known := map[cardamom.ServiceID]plan.StoreConcurrency{"s": {Loads: 2, LimitReached: true}}
 
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -50,18 +50,20 @@
 	return client
 }
 
-// exchangeInterval returns the time between two exchanges. It grows with the
-// number of members, so that the coordinator's work stays the same.
-func (l *Loop) exchangeInterval() time.Duration {
-	return max(minExchangeInterval, time.Duration(len(l.state.members))*exchangeIntervalPerMember)
+// ExchangeInterval returns the time between two exchanges of an instance. It grows with
+// the number of members, so that the coordinator's work stays the same.
+func ExchangeInterval(members int) time.Duration {
+	return max(minExchangeInterval, time.Duration(members)*exchangeIntervalPerMember)
 }
 
-// earlyExchangeInterval returns the least time between two exchanges, the second of
+// EarlyExchangeInterval returns the least time between two exchanges, the second of
 // which starts early.
-func (l *Loop) earlyExchangeInterval() time.Duration {
-	return l.exchangeInterval() * earlyExchangePercent / 100
+func EarlyExchangeInterval(members int) time.Duration {
+	return ExchangeInterval(members) * earlyExchangePercent / 100
 }
 
+func (l *Loop) exchangeInterval() time.Duration { return ExchangeInterval(len(l.state.members)) }
+
 // requestStarted makes the next exchange start early. The coordinator would evict a
 // model that it believes unused, and the unload would wait for the request to end.
 func (l *Loop) requestStarted(demand.Key) {
@@ -72,7 +74,7 @@
 func (l *Loop) stepExchange(now time.Time) {
 	interval := l.exchangeInterval()
 	if l.reportSoon {
-		interval = l.earlyExchangeInterval()
+		interval = EarlyExchangeInterval(len(l.state.members))
 	}
 	if l.exchanging || now.Sub(l.lastExchange) < interval {
 		return
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -205,7 +205,7 @@
 		}
 	}
 	if l.reportSoon {
-		wait = min(wait, l.earlyExchangeInterval())
+		wait = min(wait, EarlyExchangeInterval(len(l.state.members)))
 	}
 	if l.viewChanged {
 		l.viewChanged = false
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -97,12 +97,8 @@
 		reply.Members = encodeMembers(t.memberList)
 	}
 	sender := t.members[cardamom.InstanceID(request.GetMember().GetInstance())]
-	for id, total := range t.sums.upstreams {
-		own := sender.report.upstreams[id]
-		running, failures := total.Running-own.Running, total.Failures-own.Failures
-		if running > 0 || failures > 0 {
-			reply.Loads = append(reply.Loads, &syncpb.Load{Upstream: string(id), Running: int32(running), Failures: int32(failures)})
-		}
+	for id, others := range t.sums.Others(sender.report) {
+		reply.Loads = append(reply.Loads, &syncpb.Load{Upstream: string(id), Running: int32(others.Running), Failures: int32(others.Failures)})
 	}
 	reply.Suspects = encodeSuspects(l.state.ledger.Suspects(time.Now()))
 	return reply
@@ -118,29 +114,22 @@
 		t.logger.Info("member_found", "instance", id, "address", request.GetMember().GetEntryAddress())
 	}
 	m.Member, m.lastExchange = decodeMember(request.GetMember()), now
-	report := memberReport{
-		models:    make(map[modelKey]requestCount, len(request.GetDemands())),
-		upstreams: make(map[cardamom.UpstreamID]UpstreamStats, len(request.GetLoads())),
-	}
-	for _, d := range request.GetDemands() {
-		key := modelKey{cardamom.ServiceID(d.GetService()), cardamom.ModelID(d.GetModel())}
-		report.models[key] = requestCount{int(d.GetWaiting()), int(d.GetRunning())}
-		if p, ok := t.plans[key.service]; ok && d.GetArrivals() > 0 {
-			p.Arrived(key.model, int(d.GetArrivals()), int(d.GetTokens()), now)
+	report := decodeReport(request)
+	for key, d := range report.Models {
+		if p, ok := t.plans[key.Service]; ok && d.Arrivals > 0 {
+			p.Arrived(key.Model, d.Arrivals, d.Tokens, now)
 		}
 	}
-	for _, load := range request.GetLoads() {
-		upstream := cardamom.UpstreamID(load.GetUpstream())
-		report.upstreams[upstream] = UpstreamStats{int(load.GetRunning()), int(load.GetFailures())}
-		for _, name := range load.GetAdapters() {
+	for id, load := range report.Upstreams {
+		for name := range load.Adapters {
 			model, adapter, _ := strings.Cut(name, "/")
 			for _, p := range t.plans {
-				p.AdapterUsed(upstream, cardamom.ModelID(model), adapter, now)
+				p.AdapterUsed(id, cardamom.ModelID(model), adapter, now)
 			}
 		}
 	}
-	for key := range t.sums.replace(m.report, report) {
-		if p, ok := t.plans[key.service]; ok {
+	for key := range t.sums.Replace(m.report, report) {
+		if p, ok := t.plans[key.Service]; ok {
 			t.setRequestCounts(p, key)
 		}
 	}
--- a/coord/term.go
+++ b/coord/term.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
@@ -47,7 +48,7 @@
 	members        map[cardamom.InstanceID]*member
 	membersVersion uint64
 	memberList     []Member
-	sums           requestSums
+	sums           *demand.Sums
 	awaitCalls     map[*awaitCall]bool
 	ordersPaused   bool
 	// lastStep is when the plans last decided on orders.
@@ -81,7 +82,7 @@
 type member struct {
 	Member
 	lastExchange time.Time
-	report       memberReport
+	report       demand.Report
 }
 
 // awaitCall is a pending call that waits for a model or adapter.
@@ -99,7 +100,7 @@
 		number: uint64(l.lease.FencingToken()), fresh: fresh, loop: l, logger: l.logger,
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
-		sums: newRequestSums(), awaitCalls: make(map[*awaitCall]bool),
+		sums: demand.NewSums(), awaitCalls: make(map[*awaitCall]bool),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
@@ -259,7 +260,7 @@
 	for id, m := range t.members {
 		if now.Sub(m.lastExchange) > memberTimeout {
 			t.logger.Info("member_lost", "instance", id, "silent_ms", now.Sub(m.lastExchange).Milliseconds())
-			t.sums.replace(m.report, memberReport{})
+			t.sums.Replace(m.report, demand.Report{})
 			delete(t.members, id)
 			continue
 		}
@@ -267,7 +268,7 @@
 	}
 	for name, p := range t.plans {
 		for _, model := range p.KnownModels() {
-			t.setRequestCounts(p, modelKey{name, model})
+			t.setRequestCounts(p, demand.Key{Service: name, Model: model})
 		}
 	}
 	sortMembers(members)
@@ -280,9 +281,9 @@
 }
 
 // setRequestCounts passes the sums of a model's requests to its plan.
-func (t *term) setRequestCounts(p *servicePlan, key modelKey) {
-	c := t.sums.models[key]
-	p.SetRequestCounts(key.model, c.waiting, c.running)
+func (t *term) setRequestCounts(p *servicePlan, key demand.Key) {
+	waiting, running := t.sums.Model(key)
+	p.SetRequestCounts(key.Model, waiting, running)
 }
 
 // answerAwaitCalls answers the calls whose model is ready or whose time is up.
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -42,7 +42,7 @@
 	Adapters map[string]bool
 }
 
-// Report has the counts since the last report.
+// Report has the counts since the last report, and the current ones.
 type Report struct {
 	Models    map[Key]Model
 	Upstreams map[cardamom.UpstreamID]Upstream
