--- a/simul/play.go
+++ b/simul/play.go
@@ -236,13 +236,13 @@
 // scheduleFaults adds the faults.
 func (p *play) scheduleFaults(start time.Time) {
 	for _, f := range p.scenario.wire.Faults {
-		p.events.at(start.Add(ms(f.AtMS)), func(now time.Time) {
+		p.events.at(start.Add(ms(f.AtMS)), func(time.Time) {
 			switch f.Do {
 			case "restart":
 				p.restart(ms(f.ForMS))
 			default:
 				for range max(f.Count, 1) {
-					p.lose(f, now)
+					p.lose(f)
 				}
 			}
 		})
@@ -268,7 +268,7 @@
 }
 
 // lose makes a random live engine crash or leave.
-func (p *play) lose(f faultWire, now time.Time) {
+func (p *play) lose(f faultWire) {
 	live := slices.DeleteFunc(slices.Clone(p.order), func(e *engine) bool { return e.down || e.gone || e.State != cardamom.Live })
 	if len(live) == 0 {
 		return
