Log and count how a response was framed and what followed its last event

The logs couldn't tell a stream that the upstream ended from one that was cut off with its connection: neither framing nor an unfinished event was logged, and served requests are sampled. request_ended now has framing, last_event and tail_bytes, each stream that ends inside an event is logged, and responses_total counts responses by framing. No decision changes.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -23,6 +23,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +102,33 @@
 	idleTimeout time.Duration
 }
 
+// Framing is how the end of a response's body is marked.
+type Framing uint8
+
+const (
+	// ByLength means that the header states the body's length.
+	ByLength Framing = iota + 1
+	// Chunked means that the body comes in chunks and the last one is marked.
+	Chunked
+	// UntilClose means that the body ends with its connection, so that a response
+	// that was cut off can look like a whole one.
+	UntilClose
+)
+
+// String returns the framing's name in log lines.
+func (f Framing) String() string {
+	switch f {
+	case ByLength:
+		return "length"
+	case Chunked:
+		return "chunked"
+	case UntilClose:
+		return "close"
+	default:
+		return "none"
+	}
+}
+
 // Response is an upstream's response. Its body is read with Read; Close is
 // required.
 type Response struct {
@@ -272,6 +300,18 @@
 // Length returns the Content-Length of the body, -1 if unknown.
 func (r *Response) Length() int64 { return r.response.ContentLength }
 
+// Framing returns how the end of the body is marked.
+func (r *Response) Framing() Framing {
+	switch {
+	case slices.Contains(r.response.TransferEncoding, "chunked"):
+		return Chunked
+	case r.response.ContentLength >= 0:
+		return ByLength
+	default:
+		return UntilClose
+	}
+}
+
 // Read reads the body. io.EOF means that the body is complete; any other error is
 // ErrBroken, also for a malformed body.
 func (r *Response) Read(data []byte) (int, error) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -53,6 +54,12 @@
 	t.Add(fmt.Sprintf("requests_total{kind=%q,outcome=%q,reason=%q}", kind, outcome, reason), 1)
 }
 
+// CountResponse counts a finished request by kind and by the framing of the
+// upstream's last response. cut means that the response ended inside an event.
+func (t *Tally) CountResponse(kind, framing string, cut bool) {
+	t.Add(fmt.Sprintf("responses_total{kind=%q,framing=%q,cut=%q}", kind, framing, strconv.FormatBool(cut)), 1)
+}
+
 // CountLate counts a response that missed its targets by kind and cause.
 func (t *Tally) CountLate(kind, cause string) {
 	t.Add(fmt.Sprintf("late_total{kind=%q,cause=%q}", kind, cause), 1)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -81,6 +81,11 @@
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
+	// framing is how the end of the last response was marked.
+	framing conns.Framing
+	// tailBytes is the length of what followed the last whole event when the stream
+	// ended.
+	tailBytes int
 }
 
 // attempt sends the request to one upstream, or waits for one. It reports
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -100,6 +100,9 @@
 // Metrics records the outcomes of requests and the durations of their stages.
 type Metrics interface {
 	CountRequest(kind, outcome, reason string)
+	// CountResponse counts a finished request by the framing of the upstream's last
+	// response. cut means that the response ended inside an event.
+	CountResponse(kind, framing string, cut bool)
 	// CountLate counts a response that missed its route's targets.
 	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -39,6 +39,7 @@
 func (x *exchange) handleResponse(upstream *site.Upstream, response *conns.Response) bool {
 	now := time.Now()
 	status := response.Status()
+	x.framing = response.Framing()
 	if status >= http.StatusInternalServerError {
 		x.runs++
 		x.server.Health.Failed(upstream.ID, health.ServerError, now)
@@ -142,6 +143,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			x.tailBytes = len(partial)
 			if !x.writeEvents(response, partial) {
 				x.end("gone", "caller_left", response.Status())
 				return false
@@ -242,6 +244,7 @@
 	}
 	took := time.Since(x.arrived)
 	x.server.Metrics.CountRequest(kind, outcome, reason)
+	x.server.Metrics.CountResponse(kind, x.framing.String(), x.tailBytes > 0)
 	x.server.Metrics.ObserveDuration("whole", took)
 	late := lateness(x.route, x.firstEventAfter, x.delivery.longestGap, took)
 	if late != "" && outcome == "served" {
@@ -250,11 +253,12 @@
 	if !x.delivery.lastEvent.IsZero() {
 		x.server.Metrics.ObserveDuration("longest_gap_"+string(x.service), x.delivery.longestGap)
 	}
-	if outcome == "served" && late == "" && xxhash.Sum64String(x.info.ID)%logOneIn != 0 {
+	if outcome == "served" && late == "" && x.tailBytes == 0 && xxhash.Sum64String(x.info.ID)%logOneIn != 0 {
 		return
 	}
 	x.log.Info("request_ended", "request", x.info.ID, "outcome", outcome, "reason", reason, "status", status, "route", name,
 		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "held_ms", x.held.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
+		"framing", x.framing, "last_event", x.lastEventID, "tail_bytes", x.tailBytes,
 		"gap_ms", x.delivery.longestGap.Milliseconds(), "relay_ms", x.delivery.longestRelay.Milliseconds(), "late", late != "", "late_by", late,
 		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
