Add failing tests of streams that are cut off without an error

A response that ends with its connection, and in order, is taken as whole wherever it ends: inside an event, one byte short, before the first event.

--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -103,7 +103,7 @@
 	case UnmarkedRefusal:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case Malformed, ExtraResponse, Unframed:
+	case Malformed, ExtraResponse, Unframed, UnframedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
 		u.writeRaw(behaviour, w, r)
 		return
 	case WrongID:
@@ -122,6 +122,9 @@
 	_, _ = io.WriteString(w, "whole answer to "+id)
 }
 
+// streamEnd is what the cut behaviours leave out of a response.
+const streamEnd = "piece 4\n\n"
+
 // streamBody returns the whole body of a stream at once, for writeRaw: the events
 // after the last one that the client received.
 func streamBody(lastEventID string) string {
@@ -169,7 +172,22 @@
 	}
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: seal." + u.spec.ID + "\r\n"
 	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	cut := body[:len(body)-len(streamEnd)]
 	switch behaviour {
+	case UnframedCut:
+		_, _ = buffered.WriteString(head + "\r\n" + cut)
+	case UnframedEmpty:
+		_, _ = buffered.WriteString(head + "\r\n")
+	case UnframedShort:
+		_, _ = buffered.WriteString(head + "\r\n" + body[:len(body)-1])
+	case LengthCut:
+		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n\r\n%s", head, len(body), cut)
+	case ChunkCut:
+		_, _ = fmt.Fprintf(buffered, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(cut), cut)
+	case WholeCut:
+		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n\r\n%s", head, len(cut), cut)
+	case Comment:
+		_, _ = buffered.WriteString(head + "\r\n" + body + ": end of the stream\n")
 	case Malformed:
 		_, _ = buffered.WriteString("no response at all\r\n\r\n")
 	case ExtraResponse:
