Treat a stream that ends inside an event as broken off

Cause: forwardStream took the end of the response for the end of the stream. A response with neither a length nor chunks ends with its connection, also when the upstream fails; what was left of an event was even forwarded.

Why this works: the content decides, not the connection alone. A stream that ends inside an event, or with its connection before its first event, goes the way of one whose connection was reset: it is resumed after its last whole event where the route allows it, else its caller's connection is broken. Blank lines of all three kinds and comments after the last event are told from the start of an event.

--- a/relay/respond.go
+++ b/relay/respond.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -114,94 +113,6 @@
 	x.headerSent = true
 }
 
-// forwardStream forwards whole events as they arrive. It reports whether the
-// stream is to be resumed at another upstream.
-func (x *exchange) forwardStream(upstream *site.Upstream, response *conns.Response) bool {
-	flusher, _ := x.w.(http.Flusher)
-	var partial []byte
-	var lastEvent time.Time
-	buffer := make([]byte, readBufferBytes)
-	for {
-		n, err := response.Read(buffer)
-		read := time.Now()
-		if n > 0 {
-			x.firstEventWait.FirstEvent(read)
-		}
-		partial = append(partial, buffer[:n]...)
-		if end := wholeEventsLength(partial); end > 0 {
-			if !x.writeEvents(response, partial[:end]) {
-				x.end("gone", "caller_left", response.Status())
-				return false
-			}
-			partial = append(partial[:0], partial[end:]...)
-			flusher.Flush()
-			x.delivery.written(read, time.Now())
-			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
-				x.server.Pace.Gap(x.service, upstream.ID, read.Sub(lastEvent), x.route.TargetGap, read)
-			}
-			lastEvent = read
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			x.tailBytes = len(partial)
-			if !x.writeEvents(response, partial) {
-				x.end("gone", "caller_left", response.Status())
-				return false
-			}
-			x.end("served", "answered", response.Status())
-			return false
-		case err != nil:
-			return x.handleStreamBroken(upstream, err)
-		}
-	}
-}
-
-// writeEvents writes whole events to the caller, and reports whether it succeeded.
-func (x *exchange) writeEvents(response *conns.Response, events []byte) bool {
-	if !x.headerSent {
-		x.copyHeader(response)
-		x.w.WriteHeader(response.Status())
-		x.firstEventAfter = time.Since(x.arrived)
-		x.server.Metrics.ObserveDuration("first_event", x.firstEventAfter)
-	}
-	if id := findLastEventID(events); id != "" {
-		x.lastEventID = id
-	}
-	_, err := x.w.Write(events)
-	return err == nil
-}
-
-// handleStreamBroken handles a stream that broke: it is resumed if the route
-// allows it, else it ends for the caller too.
-func (x *exchange) handleStreamBroken(upstream *site.Upstream, err error) bool {
-	now := time.Now()
-	if x.ctx.Err() != nil {
-		if x.r.Context().Err() != nil {
-			x.end("gone", "caller_left", 0)
-			return false
-		}
-		if !x.headerSent {
-			x.timeOut()
-			return false
-		}
-		x.abort("deadline")
-	}
-	x.server.Health.Failed(upstream.ID, health.Broken, now)
-	x.server.Demand.Failed(upstream.ID)
-	x.avoid(upstream.ID)
-	x.recordDeath(upstream)
-	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "reason", err)
-	if x.route.Resumable && x.runs < x.route.MaxAttempts {
-		return true
-	}
-	if !x.headerSent {
-		x.fail(http.StatusBadGateway, "upstream_broke")
-		return false
-	}
-	x.abort("upstream_broke")
-	return false
-}
-
 // abort breaks the caller's connection, so that the response does not look
 // complete.
 func (x *exchange) abort(reason string) {
@@ -274,28 +185,3 @@
 func drain(response *conns.Response) (int64, error) {
 	return io.Copy(io.Discard, io.LimitReader(response, maxDrainBytes))
 }
-
-// wholeEventsLength returns the length of the whole events at the start of data.
-func wholeEventsLength(data []byte) int {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	crlf := bytes.LastIndex(data, []byte("\r\n\r\n"))
-	switch {
-	case end < 0 && crlf < 0:
-		return 0
-	case crlf > end:
-		return crlf + 4
-	default:
-		return end + 2
-	}
-}
-
-// findLastEventID returns the id of the last event that has one.
-func findLastEventID(events []byte) string {
-	id := ""
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/conns"
+	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/site"
+)
+
+// Errors of a stream whose response ended without an error of the connection.
+var (
+	// errInsideEvent means that the stream ended inside an event.
+	errInsideEvent = eris.New("stream ended inside an event")
+	// errNoEvent means that the connection closed after the header.
+	errNoEvent = eris.New("stream ended with its connection before its first event")
+)
+
+// streamRest is what is known of a stream when its response has ended.
+type streamRest struct {
+	framing conns.Framing
+	// continues means that the stream continues another after its last event, so that
+	// nothing may be left of it.
+	continues bool
+	// hasEvents means that the response had a whole event.
+	hasEvents bool
+	// tail is what followed the last whole event.
+	tail []byte
+}
+
+// check returns why the stream is not whole, nil if it is. That its response ended in
+// order does not suffice: one without a length and without chunks ends with its
+// connection, also if the upstream fails.
+func (s streamRest) check() error {
+	switch {
+	case isInsideEvent(s.tail):
+		return errInsideEvent
+	case s.framing == conns.UntilClose && !s.hasEvents && !s.continues:
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
+// forwardStream forwards whole events as they arrive. It reports whether the
+// stream is to be resumed at another upstream.
+func (x *exchange) forwardStream(upstream *site.Upstream, response *conns.Response) bool {
+	flusher, _ := x.w.(http.Flusher)
+	var partial []byte
+	var lastEvent time.Time
+	rest := streamRest{framing: response.Framing(), continues: x.sentLastEventID() != ""}
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := response.Read(buffer)
+		read := time.Now()
+		if n > 0 {
+			x.firstEventWait.FirstEvent(read)
+		}
+		partial = append(partial, buffer[:n]...)
+		if end := wholeEventsLength(partial); end > 0 {
+			if !x.writeEvents(response, partial[:end]) {
+				x.end("gone", "caller_left", response.Status())
+				return false
+			}
+			partial = append(partial[:0], partial[end:]...)
+			rest.hasEvents = true
+			flusher.Flush()
+			x.delivery.written(read, time.Now())
+			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
+				x.server.Pace.Gap(x.service, upstream.ID, read.Sub(lastEvent), x.route.TargetGap, read)
+			}
+			lastEvent = read
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			x.tailBytes, rest.tail = len(partial), partial
+			if err := rest.check(); err != nil {
+				return x.handleStreamBroken(upstream, err)
+			}
+			if !x.writeEvents(response, partial) {
+				x.end("gone", "caller_left", response.Status())
+				return false
+			}
+			x.end("served", "answered", response.Status())
+			return false
+		case err != nil:
+			return x.handleStreamBroken(upstream, err)
+		}
+	}
+}
+
+// writeEvents writes whole events to the caller, and reports whether it succeeded.
+func (x *exchange) writeEvents(response *conns.Response, events []byte) bool {
+	if !x.headerSent {
+		x.copyHeader(response)
+		x.w.WriteHeader(response.Status())
+		x.firstEventAfter = time.Since(x.arrived)
+		x.server.Metrics.ObserveDuration("first_event", x.firstEventAfter)
+	}
+	if id := findLastEventID(events); id != "" {
+		x.lastEventID = id
+	}
+	_, err := x.w.Write(events)
+	return err == nil
+}
+
+// handleStreamBroken handles a stream that broke: it is resumed if the route
+// allows it, else it ends for the caller too.
+func (x *exchange) handleStreamBroken(upstream *site.Upstream, err error) bool {
+	now := time.Now()
+	if x.ctx.Err() != nil {
+		if x.r.Context().Err() != nil {
+			x.end("gone", "caller_left", 0)
+			return false
+		}
+		if !x.headerSent {
+			x.timeOut()
+			return false
+		}
+		x.abort("deadline")
+	}
+	x.server.Health.Failed(upstream.ID, health.Broken, now)
+	x.server.Demand.Failed(upstream.ID)
+	x.avoid(upstream.ID)
+	x.recordDeath(upstream)
+	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "reason", err)
+	if x.route.Resumable && x.runs < x.route.MaxAttempts {
+		return true
+	}
+	if !x.headerSent {
+		x.fail(http.StatusBadGateway, "upstream_broke")
+		return false
+	}
+	x.abort("upstream_broke")
+	return false
+}
+
+// blankLines are the ends of an event: two line ends of any kind in a row.
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// wholeEventsLength returns the length of the whole events at the start of data.
+func wholeEventsLength(data []byte) int {
+	length := 0
+	for _, blank := range blankLines {
+		if at := bytes.LastIndex(data, blank); at >= 0 {
+			length = max(length, at+len(blank))
+		}
+	}
+	return length
+}
+
+// isInsideEvent reports whether what follows the last whole event of a stream is the
+// start of another: anything but blank lines and whole comments.
+func isInsideEvent(tail []byte) bool {
+	for len(tail) > 0 {
+		end := bytes.IndexAny(tail, "\r\n")
+		if end < 0 || (end > 0 && tail[0] != ':') {
+			return true
+		}
+		tail = tail[end+1:]
+	}
+	return false
+}
+
+// findLastEventID returns the id of the last event that has one.
+func findLastEventID(events []byte) string {
+	id := ""
+	for _, line := range bytes.Split(events, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
