Reset an HTTP/1.0 caller's connection when its response is broken off

Found while looking for the class of the cut streams: a response to HTTP/1.0 has no chunks and ends with its connection, so that the regular close after an abort made a broken stream look complete. The new spec read a regular end before and gets a reset now.

--- a/logs/words.go
+++ b/logs/words.go
@@ -33,6 +33,7 @@
 	"loads_at_once":         "the number of parallel loads from the store that run at full speed was determined",
 	"member_found":          "an instance sent its first report to this coordinator",
 	"member_lost":           "an instance has sent no report for too long",
+	"not_reset":             "the connection of a caller whose response was broken off could not be reset",
 	"not_sent":              "an upstream could not be reached, so the request has not run there",
 	"order":                 "an order was sent to an upstream",
 	"order_done":            "an order was completed",
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,6 +229,18 @@
 		Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 20000)))
 	})
 
+	It("resets the connection of an HTTP/1.0 caller whose stream it aborts", func() {
+		w := newFixture(coord.AwaitResult{})
+		w.script([]host.Behaviour{host.Cut})
+		c, err := net.Dial("tcp", strings.TrimPrefix(w.server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /stream/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r-1\r\nModel: m\r\nDeadline-Ms: 20000\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(c)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+
 	It("refuses at once a request whose model will be loaded too late, with a Retry-After", func() {
 		w := newFixture(coord.AwaitResult{Answered: true, Expected: 6 * time.Second})
 		response, err := http.DefaultClient.Do(w.newRequest("/stream/x", "cold", nil))
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -117,9 +118,26 @@
 // complete.
 func (x *exchange) abort(reason string) {
 	x.end("cut", reason, 0)
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// reset resets the connection of a caller that speaks HTTP/1.0. Its response has no
+// chunks and ends with the connection, so a regular close would complete it.
+func (x *exchange) reset() {
+	connection, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		x.log.Warn("not_reset", "request", x.info.ID, "reason", err)
+		return
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 // refuse answers that the request has not run and never will.
 func (x *exchange) refuse(reason string, wait time.Duration) {
 	if wait > 0 {
