Do not resume a stream whose events have no id

Found while looking for the class of the cut streams: without an id the next upstream began the stream again, and the caller got its first events twice. The new case got status 200 and joined pieces before; now its response is broken off.

--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -103,7 +103,7 @@
 	case UnmarkedRefusal:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case Malformed, ExtraResponse, Unframed, UnframedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
+	case Malformed, ExtraResponse, Unframed, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
 		u.writeRaw(behaviour, w, r)
 		return
 	case WrongID:
@@ -176,6 +176,8 @@
 	switch behaviour {
 	case UnframedCut:
 		_, _ = buffered.WriteString(head + "\r\n" + cut)
+	case UnnumberedCut:
+		_, _ = buffered.WriteString(head + "\r\ndata: piece 1\n\ndata: pie")
 	case UnframedEmpty:
 		_, _ = buffered.WriteString(head + "\r\n")
 	case UnframedShort:
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -38,6 +38,8 @@
 	UnframedShort Behaviour = "unframed-short"
 	// UnframedEmpty is Unframed, but the connection ends after the header.
 	UnframedEmpty Behaviour = "unframed-empty"
+	// UnnumberedCut is UnframedCut with events that have no id.
+	UnnumberedCut Behaviour = "unnumbered-cut"
 	// LengthCut states the whole length and closes the connection, in order, inside
 	// an event.
 	LengthCut Behaviour = "length-cut"
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -130,7 +130,7 @@
 	x.avoid(upstream.ID)
 	x.recordDeath(upstream)
 	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "reason", err)
-	if x.route.Resumable && x.runs < x.route.MaxAttempts {
+	if x.mayResume() {
 		return true
 	}
 	if !x.headerSent {
@@ -141,6 +141,13 @@
 	return false
 }
 
+// mayResume reports whether another upstream may continue the stream after its last
+// event, or begin it if the caller has none. Events without an id can't be continued:
+// they would come twice.
+func (x *exchange) mayResume() bool {
+	return x.route.Resumable && x.runs < x.route.MaxAttempts && (!x.headerSent || x.lastEventID != "")
+}
+
 // blankLines are the ends of an event: two line ends of any kind in a row.
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
