Fail a completion of cardd that ends with its connection inside its document

Found while looking for the class of the cut streams: cardd's entry took a completion with neither a length nor chunks as whole wherever its connection ended. A completion is a JSON document, so a cut one can be told; the new spec got status 200 and eight bytes before and gets a failure that says it may have run now. Streams of cardd end with an event of their own and were not concerned. Plain services have no such form: what ends with its connection in order is taken as whole there.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -127,6 +128,17 @@
 	return body, nil
 }
 
+// readCompletion reads a completion that is not streamed, a JSON document. One with
+// neither a length nor chunks ends with its connection, also if the engine fails, and
+// so is whole only if the document is.
+func readCompletion(response *http.Response) ([]byte, error) {
+	body, err := readBody(response)
+	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !json.Valid(body) {
+		return nil, errCompletionTruncated
+	}
+	return body, err
+}
+
 func closeBody(response *http.Response) {
 	if response != nil {
 		_ = response.Body.Close()
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -194,7 +194,7 @@
 		}
 		return nil, s.relayStream(ctx, w, j, replica, result.response, resume)
 	}
-	body, err := readBody(result.response)
+	body, err := readCompletion(result.response)
 	if err != nil {
 		s.recordDeath(ctx, j, replica)
 		return nil, s.responseFailure(ctx, err)
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -43,6 +43,17 @@
 	case "cut":
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
+	case "unframed", "unframed-cut":
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		body := `{"choices": []}`
+		if u.script[min(n, len(u.script)-1)] == "unframed-cut" {
+			body = body[:8]
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"+body)
 	case "stream":
 		_, _ = fmt.Fprint(w, "data: {\"n\":1}\n\ndata: {\"n\":2}\n\ndata: [DONE]\n\n")
 	case "stream-cut":
@@ -74,6 +85,20 @@
 		Expect(outcome(response)).To(Equal("served"))
 	})
 
+	It("takes a completion that ends with its connection as whole if its document is", func() {
+		h.useUpstream(&scriptedUpstream{script: []string{"unframed"}})
+		response := post(completionBody)
+		Expect(readText(response)).To(Equal(`{"choices": []}`))
+		Expect(outcome(response)).To(Equal("served"))
+	})
+
+	It("fails a completion that ends with its connection inside its document", func() {
+		h.useUpstream(&scriptedUpstream{script: []string{"unframed-cut"}})
+		response := post(completionBody)
+		Expect(response.StatusCode).To(Equal(http.StatusUnprocessableEntity))
+		Expect(outcome(response)).To(Equal("may-have-run"))
+	})
+
 	It("ends a stream with the outcome event and [DONE]", func() {
 		h.useUpstream(&scriptedUpstream{script: []string{"stream"}})
 		Expect(readText(post(streamBody))).To(HaveSuffix("data: {\"n\":2}\n\nevent: outcome\ndata: {\"outcome\":\"served\"}\n\ndata: [DONE]\n\n"))
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -22,10 +22,11 @@
 	doneEvent = []byte("data: [DONE]")
 )
 
-// Errors of relaying a stream.
+// Errors of relaying a response.
 var (
-	errStreamTruncated = errors.New("stream ended before its last event")
-	errCallerGone      = errors.New("caller disconnected")
+	errStreamTruncated     = errors.New("stream ended before its last event")
+	errCompletionTruncated = errors.New("completion ended inside its JSON document")
+	errCallerGone          = errors.New("caller disconnected")
 )
 
 // streamResult is the result of relaying a stream.
