Reject replies between instances that have neither a length nor chunks

The class of the cut streams: a Protobuf message that is cut between two fields decodes as if it were whole, so a reply that ends with its connection could lose upstreams or members without an error. Our servers always state a length; anything else is an error now.

--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -86,6 +86,10 @@
 		host.CloseEarly, host.Cut, host.Full, host.UnmarkedRefusal, host.InternalError, host.WrongID, host.Malformed, host.ExtraResponse, host.Unframed, host.Misdirected,
 	}
 	upstream := s.randomUpstream(random)
+	if strings.HasPrefix(upstream.ID(), "models-") {
+		// A plain response that is cut in these ways can't be told from a whole one.
+		all = append(all, host.UnframedCut, host.UnframedShort, host.UnframedEmpty, host.LengthCut, host.ChunkCut, host.WholeCut)
+	}
 	for range 5 {
 		upstream.AppendBehaviours(all[random.IntN(len(all))])
 	}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -8,6 +8,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/framed"
 	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
 )
@@ -38,7 +39,7 @@
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
-	return &peers{client: &http.Client{Transport: transport}, clients: make(map[string]syncpb.Sync)}
+	return &peers{client: &http.Client{Transport: framed.New(transport)}, clients: make(map[string]syncpb.Sync)}
 }
 
 func (p *peers) dial(address string) syncpb.Sync {
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -172,7 +172,7 @@
 	}
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: seal." + u.spec.ID + "\r\n"
 	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	cut := body[:len(body)-len(streamEnd)]
+	cut := body[:max(len(body)-len(streamEnd), 0)]
 	switch behaviour {
 	case UnframedCut:
 		_, _ = buffered.WriteString(head + "\r\n" + cut)
@@ -181,7 +181,7 @@
 	case UnframedEmpty:
 		_, _ = buffered.WriteString(head + "\r\n")
 	case UnframedShort:
-		_, _ = buffered.WriteString(head + "\r\n" + body[:len(body)-1])
+		_, _ = buffered.WriteString(head + "\r\n" + body[:max(len(body)-1, 0)])
 	case LengthCut:
 		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n\r\n%s", head, len(body), cut)
 	case ChunkCut:
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cardamomcourse.example/cardamom/certs"
+	"cardamomcourse.example/cardamom/framed"
 	"cardamomcourse.example/cardamom/meter"
 	"cardamomcourse.example/cardamom/peerpb"
 )
@@ -43,7 +44,7 @@
 	return &Dialer{
 		scheme:  scheme,
 		meter:   counted,
-		http:    &http.Client{Timeout: timeout, Transport: transport},
+		http:    &http.Client{Timeout: timeout, Transport: framed.New(transport)},
 		clients: make(map[string]peerpb.Peer),
 	}
 }
