Order versions and fencing tokens across a restore of the store

The platform's store may return from a copy some seconds old: versions go back and are given out again, and the row of the lease is an older one or gone.

What went wrong: the fencing token is the version of the lease's row, so a token could be lower than one that engines had seen, or the same as another holder's. A cursor that the store's new versions had passed was continued and missed rows. A write could succeed by a version that now belonged to another value. Instances ignored a coordinator whose term was lower than one they remembered. The store's clock, once ahead, made leases look expired.

Why this works: each answer tells the store's incarnation, and the adapter puts it in the upper bits of each version. So versions, tokens, terms and cursors are ordered across restores without any code that compares them, and a write that expects a version of an ended incarnation isn't sent. The lease's row says in which incarnation it was written. A restored row gives the lease to nobody: it can be taken a lease's time after the incarnation was first seen, when whatever was valid before has expired; only the holder itself, while its own lease is valid, takes it again at once. Stores that don't tell an incarnation work as before.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -48,7 +48,7 @@
 func newLoop(id cardamom.InstanceID, result site.OrderResult) *Loop {
 	l := New(Options{
 		ID: id, EntryAddress: string(id) + ":1", SyncAddress: string(id) + ":2", LeaseDuration: 3 * time.Second, Engines: engines{result},
-		Clock: func(time.Time) (int64, bool) { return 0, false }, Demand: demand.New(), Ledger: poison.New(), Logger: hclog.NewNullLogger(),
+		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Logger: hclog.NewNullLogger(),
 	})
 	l.ctx = context.Background()
 	return l
@@ -251,7 +251,7 @@
 
 	It("is left for the instance that took the lease, also if its answer comes after that", func() {
 		l := follower()
-		l.observe(lease.Row{Version: 74, Holder: "i-2", Address: "i-2:2"}, start.Add(time.Second))
+		l.observe(lease.Row{Version: 74, Holder: "i-2", Address: "i-2:2"}, 0, start.Add(time.Second))
 		Expect(l.coordinator(start)).To(Equal("i-2:2"))
 		l.handleExchangeReply("i-1:2", stale, nil, start, start.Add(time.Second))
 		Expect(l.coordinator(start)).To(Equal("i-2:2"))
@@ -263,7 +263,7 @@
 	DescribeTable("is kept",
 		func(row lease.Row) {
 			l := follower()
-			l.observe(row, start.Add(time.Second))
+			l.observe(row, 0, start.Add(time.Second))
 			Expect(l.coordinator(start)).To(Equal("i-1:2"))
 		},
 		Entry("while it holds the lease", lease.Row{Version: 74, Holder: "i-1", Address: "i-1:2"}),
@@ -281,7 +281,7 @@
 			l := newLoop(id, site.OrderAccepted)
 			l.options.TakeoverDelay = delay
 			l.noCoordinatorSince = start
-			l.observe(row, start)
+			l.observe(row, 0, start)
 			Expect(l.mayTake(start.Add(since))).To(Equal(expected))
 		},
 		Entry("if it is strong, when the lease expires", cardamom.InstanceID("i-2"), time.Duration(0), renewed, 3300*time.Millisecond, true),
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -42,6 +42,9 @@
 	Address  string `json:"address"`
 	Released bool   `json:"released"`
 	Renewed  int64  `json:"renewed_ms"`
+	// Incarnation is that of the store at the time of the write. A row that was restored
+	// with the store has an earlier one.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 	// StoreConcurrency is how many loads from the store can run concurrently at
 	// full speed, per service. It is kept in the row because only slowed-down loads
 	// reveal it.
@@ -63,7 +66,7 @@
 			l.state.storeConcurrency[cardamom.ServiceID(service)] = plan.StoreConcurrency{Loads: concurrency.Loads, LimitReached: concurrency.Bound}
 		}
 	}
-	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed}
+	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed, Incarnation: wire.Incarnation}
 }
 
 func (l *Loop) encodeLease(row lease.Row) []byte {
@@ -71,7 +74,7 @@
 	for service, known := range l.state.storeConcurrency {
 		concurrency[string(service)] = wireConcurrency{known.Loads, known.LimitReached}
 	}
-	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, StoreConcurrency: concurrency})
+	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency})
 	if err != nil {
 		return nil
 	}
@@ -124,6 +127,9 @@
 // waits from the time at which the lease became free, since stronger ones could not
 // take it before either.
 func (l *Loop) mayTake(now time.Time) bool {
+	if l.lease.MayRegain(now) {
+		return true
+	}
 	delay := l.options.TakeoverDelay
 	return !l.hasCoordinator(now) && now.Sub(l.noCoordinatorSince) >= delay && now.Sub(l.lease.FreeSince()) >= delay
 }
@@ -165,8 +171,8 @@
 	l.fetchLease(l.observe)
 }
 
-// fetchLease reads the row and passes it to handle.
-func (l *Loop) fetchLease(handle func(row lease.Row, now time.Time)) {
+// fetchLease reads the row and passes it to handle, with the incarnation of the store.
+func (l *Loop) fetchLease(handle func(row lease.Row, incarnation uint64, now time.Time)) {
 	l.leaseCallInFlight = true
 	go func() {
 		row, err := l.options.Table.Get(l.ctx, leaseKey)
@@ -178,15 +184,24 @@
 			}
 			l.leaseFailures = 0
 			l.lastLeaseRead = now
-			handle(l.decodeLease(row), now)
+			handle(l.decodeLease(row), row.Incarnation(), now)
 		})
 	}()
 }
 
-// observe records the row as it was read.
-func (l *Loop) observe(row lease.Row, now time.Time) {
-	storeMS, _ := l.options.Clock(now)
-	l.lease.Observe(row, storeMS, now)
+// observe records the row as it was read from an incarnation of the store.
+func (l *Loop) observe(row lease.Row, incarnation uint64, now time.Time) {
+	storeMS, clockIncarnation, _ := l.options.Clock(now)
+	if clockIncarnation != incarnation {
+		storeMS = 0
+	}
+	before := l.lease.Incarnation()
+	if l.lease.Observe(row, incarnation, storeMS, now) {
+		l.logger.Warn("lease_restored", "before", before, "incarnation", incarnation, "row_version", row.Version, "regains", l.lease.MayRegain(now))
+		if l.term != nil {
+			l.endTerm("store restored")
+		}
+	}
 	l.followHolder(row)
 }
 
@@ -197,7 +212,7 @@
 func (l *Loop) followHolder(row lease.Row) {
 	followed := l.position
 	if l.term != nil || followed.coordinator == "" || followed.coordinator == row.Address ||
-		row.Released || row.Address == "" || row.Holder == l.options.ID || row.Version <= followed.term {
+		row.Incarnation != l.lease.Incarnation() || row.Released || row.Address == "" || row.Holder == l.options.ID || row.Version <= followed.term {
 		return
 	}
 	l.logger.Info("coordinator_replaced", "address", followed.coordinator, "holder", row.Holder, "fence", followed.term)
@@ -210,7 +225,10 @@
 	l.leaseCallInFlight, l.lastLeaseCall = true, now
 	expect := l.lease.Version()
 	began := clock.Now()
-	storeMS, _ := l.options.Clock(began)
+	storeMS, clockIncarnation, _ := l.options.Clock(began)
+	if clockIncarnation != l.lease.Incarnation() {
+		storeMS = 0
+	}
 	value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Renewed: storeMS})
 	go func() {
 		version, err := l.options.Table.Commit(l.ctx, table.Put(leaseKey, expect, value))
@@ -223,8 +241,12 @@
 	l.leaseCallInFlight = false
 	switch {
 	case err == nil:
-		fresh := l.lease.Version() == 0
-		l.lease.RecordWrite(version, l.options.SyncAddress, began)
+		// In a store that can be restored, a row that is missing may have been lost.
+		fresh := l.lease.Version() == 0 && l.lease.Incarnation() == 0
+		if !l.lease.RecordWrite(version, l.options.SyncAddress, began) {
+			l.verifyLeaseWrite(began)
+			return
+		}
 		if l.term == nil && !l.leaving {
 			l.beginTerm(fresh, now)
 		}
@@ -245,12 +267,13 @@
 // verifyLeaseWrite reads the row after a write that got no answer. The write
 // succeeded if the row names this instance and has a newer version.
 func (l *Loop) verifyLeaseWrite(began time.Time) {
-	l.fetchLease(func(found lease.Row, now time.Time) {
-		if l.lease.Held() && found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
+	l.fetchLease(func(found lease.Row, incarnation uint64, now time.Time) {
+		if l.lease.Held() && incarnation == l.lease.Incarnation() && found.Incarnation == incarnation &&
+			found.Holder == l.options.ID && !found.Released && found.Version > l.lease.Version() {
 			l.lease.RecordWrite(found.Version, l.options.SyncAddress, began)
 			return
 		}
-		l.observe(found, now)
+		l.observe(found, incarnation, now)
 	})
 }
 
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -57,8 +57,9 @@
 	// TakeoverDelay is how long after its start, and after losing its coordinator,
 	// an instance with little capacity leaves the lease to others.
 	TakeoverDelay time.Duration
-	// Clock returns the store's monotonic clock in milliseconds.
-	Clock func(now time.Time) (int64, bool)
+	// Clock returns the store's monotonic clock in milliseconds and the incarnation of
+	// the store to which it belongs.
+	Clock func(now time.Time) (ms int64, incarnation uint64, ok bool)
 	// Fenced means that engines refuse orders with an old fencing token.
 	Fenced    bool
 	Table     table.Store
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -33,7 +33,7 @@
 				return
 			}
 			if result == site.OrderFenced {
-				l.lease.Invalidate()
+				l.lease.Forfeit()
 				l.endTerm("engines know a newer holder")
 				return
 			}
--- a/fakes/host/store.go
+++ b/fakes/host/store.go
@@ -13,8 +13,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -63,6 +65,19 @@
 	version uint64
 	fault   Fault
 	calls   int
+	// era is sent with each answer unless it is empty, the form of a store that can't
+	// be restored.
+	era string
+	// copied is what Restore brings back.
+	copied snapshot
+}
+
+// snapshot is a copy of a store.
+type snapshot struct {
+	rows    map[string]row
+	history []row
+	oldest  uint64
+	version uint64
 }
 
 // NewStore returns a store that listens on loopback.
@@ -114,6 +129,35 @@
 	s.write(table, key, nil, true)
 }
 
+// SetEra makes the store send the era with each answer, also one that is no number.
+func (s *Store) SetEra(era string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy keeps a copy of the store for Restore.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = snapshot{rows: maps.Clone(s.rows), history: slices.Clone(s.history), oldest: s.oldest, version: s.version}
+}
+
+// Restore returns to the last copy and begins the next era: later writes are gone, and
+// their versions are given out again.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history = maps.Clone(s.copied.rows), slices.Clone(s.copied.history)
+	s.oldest, s.version = s.copied.oldest, s.copied.version
+	era, err := strconv.ParseUint(s.era, 10, 64)
+	if err != nil {
+		era = 0
+	}
+	s.era = strconv.FormatUint(era+1, 10)
+	s.changed.Broadcast()
+}
+
 // Row returns a row's value and version, 0 if there is none.
 func (s *Store) Row(table, key string) ([]byte, uint64) {
 	s.mu.Lock()
@@ -148,6 +192,9 @@
 		s.mu.Lock()
 		s.calls++
 		fault := s.fault
+		if fault == Down {
+			s.writeEra(w)
+		}
 		s.mu.Unlock()
 		switch fault {
 		case Down:
@@ -163,9 +210,18 @@
 	})
 }
 
+// writeEra adds the era to the header of an answer. s.mu must be held until the answer
+// is written.
+func (s *Store) writeEra(w http.ResponseWriter) {
+	if s.era != "" {
+		w.Header().Set("Store-Era", s.era)
+	}
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	query := r.URL.Query()
 	limit, err := strconv.Atoi(query.Get("limit"))
 	if err != nil || limit <= 0 {
@@ -199,7 +255,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
-		if after < s.oldest {
+		s.writeEra(w)
+		if after < s.oldest || after > s.version {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -229,6 +286,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	for _, expected := range body.Expect {
 		if s.rows[expected.Table+"/"+expected.Key].Ver != expected.Ver {
 			w.WriteHeader(http.StatusPreconditionFailed)
--- a/front/provide.go
+++ b/front/provide.go
@@ -26,7 +26,9 @@
 	coord.New, demand.New, health.New, pace.New, poison.New, metric.New, newShutdownState, New,
 )
 
-func provideStore(settings *Settings) *platform.Store { return platform.NewStore(settings.store) }
+func provideStore(settings *Settings, logger hclog.Logger) *platform.Store {
+	return platform.NewStore(settings.store, logger.Named("store"))
+}
 
 func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, logger hclog.Logger) coord.Options {
 	return coord.Options{
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -24,7 +24,7 @@
 
 // Build returns an instance with the settings. Wire generates its body.
 func Build(settings *Settings, logger hclog.Logger) *Instance {
-	store := provideStore(settings)
+	store := provideStore(settings, logger)
 	counter := demand.New()
 	ledger := poison.New()
 	options := provideOptions(settings, store, counter, ledger, logger)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	state := lease.New("entry-1", 3*time.Second)
-//	state.Observe(lease.Row{Version: 12, Holder: "entry-2"}, storeTime, now)
+//	state.Observe(lease.Row{Version: 12, Holder: "entry-2"}, incarnation, storeTime, now)
 //	switch state.Next(now) {
 //	case lease.Take, lease.Renew:
 //	    // write the row if it is still at state.Version(), then
@@ -15,6 +15,14 @@
 //	}
 //	if state.MayOrder(now, fenced) { /* send orders with state.FencingToken() */ }
 //
+// A store that returns from an older copy begins a new incarnation (see package table).
+// The row may then be an older one, or gone, and name a holder that was replaced since,
+// while the real holder still believes in its lease. So a row that was written in an
+// earlier incarnation gives the lease to nobody: it can be taken once everything that was
+// valid before the loss has expired, a lease's time after this instance has first seen the
+// incarnation. Only the holder itself may take it again before, as long as its own lease
+// is valid.
+//
 // Times come from package clock, which counts the time while the machine is
 // suspended too: a holder that was suspended finds its lease expired.
 package lease
@@ -23,6 +31,7 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/table"
 )
 
 const (
@@ -52,6 +61,9 @@
 	// Renewed is when the row was written: the milliseconds on the store's monotonic
 	// clock, 0 if unknown.
 	Renewed int64
+	// Incarnation is the incarnation of the store in which the row was written, 0 if the
+	// store had none.
+	Incarnation uint64
 }
 
 // Action is the next thing to do with the lease.
@@ -84,6 +96,16 @@
 	mayOrderFrom time.Time
 	// lastOutage is when a write of the row last failed other than by a conflict.
 	lastOutage time.Time
+	// incarnation is the newest known one of the store, and incarnationSince when this
+	// instance first saw it, zero before the first read.
+	incarnation      uint64
+	incarnationSince time.Time
+	// regainUntil is the time until which this instance may take the lease though the row
+	// is of an earlier incarnation, since it held the lease when the store was restored.
+	regainUntil time.Time
+	// regained means that the current term followed one of this instance itself before
+	// the store was restored.
+	regained bool
 }
 
 // New returns the state of an instance that has not read the row yet.
@@ -91,24 +113,66 @@
 	return &State{own: own, duration: duration}
 }
 
-// Observe records the row as it was read. storeTime is the time of the read on the
-// store's monotonic clock, in milliseconds; 0 if unknown.
-func (s *State) Observe(row Row, storeTime int64, now time.Time) {
+// Observe records the row as it was read from an incarnation of the store. storeTime is
+// the time of the read on the store's monotonic clock, in milliseconds; 0 if unknown. It
+// reports whether the store has begun that incarnation since this instance last saw it.
+func (s *State) Observe(row Row, incarnation uint64, storeTime int64, now time.Time) bool {
+	if table.Judge(s.incarnation, incarnation) == table.Outdated {
+		return false
+	}
+	restored := s.enter(incarnation, now)
 	if s.rowKnown && row.Version <= s.row.Version {
-		return
+		return restored
 	}
 	if s.held && row.Version > s.row.Version {
 		s.held = false
 	}
-	if row.Released && row.Holder != s.own {
-		s.mayOrderFrom = now.Add(s.duration)
+	if row.Incarnation == incarnation && row.Holder != s.own {
+		s.regainUntil = time.Time{}
+		if row.Released {
+			s.mayOrderFrom = now.Add(s.duration)
+		}
 	}
 	s.row, s.rowRenewed, s.rowKnown = row, now, true
-	if row.Renewed > 0 && storeTime > row.Renewed {
+	switch {
+	case s.isRestored() && row.Version == 0:
+		s.rowRenewed = s.incarnationSince
+	case s.isRestored():
+		// The row's time is on a clock that may have gone back, and its holder may have
+		// released or lost the lease since.
+	case row.Renewed > 0 && storeTime > row.Renewed:
 		s.rowRenewed = now.Add(-time.Duration(storeTime-row.Renewed) * time.Millisecond)
 	}
+	return restored
+}
+
+// enter records that the store answered in an incarnation, and reports whether that is
+// newer than one in which it answered before.
+func (s *State) enter(incarnation uint64, now time.Time) bool {
+	first := s.incarnationSince.IsZero()
+	if !first && incarnation == s.incarnation {
+		return false
+	}
+	s.incarnation, s.incarnationSince = incarnation, now
+	if first {
+		return false
+	}
+	// While the own lease is valid, no other instance has held one since.
+	s.regainUntil = s.lastRenewal.Add(s.duration * validPercent / 100)
+	s.Invalidate()
+	return true
 }
 
+// MayRegain reports whether this instance may take the lease at once, since its own was
+// still valid when the store was restored.
+func (s *State) MayRegain(now time.Time) bool {
+	return s.rowKnown && !s.held && s.isRestored() && now.Before(s.regainUntil)
+}
+
+// isRestored reports whether the row was written in an earlier incarnation, or may have
+// been and is gone.
+func (s *State) isRestored() bool { return s.row.Incarnation != s.incarnation }
+
 // Next returns what to do now.
 func (s *State) Next(now time.Time) Action {
 	switch {
@@ -119,7 +183,9 @@
 			return Renew
 		}
 		return Nothing
-	case s.row.Version == 0, s.row.Released, s.row.Holder == s.own:
+	case s.MayRegain(now):
+		return Take
+	case !s.isRestored() && (s.row.Version == 0 || s.row.Released || s.row.Holder == s.own):
 		return Take
 	case now.Sub(s.rowRenewed) >= s.duration*expiryPercent/100:
 		return Take
@@ -132,9 +198,9 @@
 // held it yet.
 func (s *State) FreeSince() time.Time {
 	switch {
-	case !s.rowKnown || s.row.Version == 0:
+	case !s.rowKnown || (s.row.Version == 0 && !s.isRestored()):
 		return time.Time{}
-	case s.row.Released:
+	case s.row.Released && !s.isRestored():
 		return s.rowRenewed
 	default:
 		return s.rowRenewed.Add(s.duration * expiryPercent / 100)
@@ -145,10 +211,15 @@
 func (s *State) Version() uint64 { return s.row.Version }
 
 // RecordWrite records a successful write of the row. began is when the write was
-// started: its result may have arrived much later.
-func (s *State) RecordWrite(version uint64, address string, began time.Time) {
+// started: its result may have arrived much later. It reports whether the write counts:
+// one in another incarnation than the one that this instance has read does not.
+func (s *State) RecordWrite(version uint64, address string, began time.Time) bool {
+	if table.Incarnation(version) != s.incarnation {
+		return false
+	}
 	if !s.held {
 		s.fencingToken = cardamom.Fence(version)
+		s.regained = s.isRestored() && began.Before(s.regainUntil)
 		// The previous holder did not release the lease and may have sent orders until
 		// now, so this instance need not wait. A wait that an earlier release started
 		// ends.
@@ -158,9 +229,10 @@
 	}
 	s.held = true
 	s.lastRenewal = began
-	s.row = Row{Version: version, Holder: s.own, Address: address}
+	s.row = Row{Version: version, Holder: s.own, Address: address, Incarnation: s.incarnation}
 	s.rowRenewed = began
 	s.rowKnown = true
+	return true
 }
 
 // Invalidate discards what is known of the lease, for example after a write that
@@ -171,6 +243,13 @@
 	s.row.Version = 0
 }
 
+// Forfeit is Invalidate for an instance that knows of a newer holder: its own last renewal
+// says nothing any more.
+func (s *State) Forfeit() {
+	s.Invalidate()
+	s.lastRenewal, s.regainUntil = time.Time{}, time.Time{}
+}
+
 // Held reports whether the instance holds the lease as far as it knows. The
 // lease may have expired; Valid checks that.
 func (s *State) Held() bool { return s.held }
@@ -196,6 +275,10 @@
 	if now.Before(s.mayOrderFrom) {
 		return false
 	}
+	if s.regained && !fenced && now.Before(s.regainUntil) {
+		// Orders of the term before, with a lower fencing token, may be on their way.
+		return false
+	}
 	return s.Valid(now) || (fenced && s.held && now.Sub(s.lastOutage) < outageGrace)
 }
 
@@ -212,10 +295,13 @@
 // FencingToken returns the fencing token of the current term.
 func (s *State) FencingToken() cardamom.Fence { return s.fencingToken }
 
-// Holder returns the last known holder and its address, both empty if there is none
-// or the lease is released.
+// Incarnation returns the newest known incarnation of the store.
+func (s *State) Incarnation() uint64 { return s.incarnation }
+
+// Holder returns the last known holder and its address, both empty if there is none,
+// the lease is released, or the row was restored with the store.
 func (s *State) Holder() (cardamom.InstanceID, string) {
-	if !s.rowKnown || s.row.Released {
+	if !s.rowKnown || s.row.Released || s.isRestored() {
 		return "", ""
 	}
 	return s.row.Holder, s.row.Address
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,6 +11,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/table"
 )
 
 //go:embed testdata/*.json
@@ -23,18 +24,27 @@
 
 // step is one event of a script and the state expected after it.
 type step struct {
-	At       int64  `json:"at_ms"`
-	Do       string `json:"do"`
-	Version  uint64 `json:"version"`
-	Holder   string `json:"holder"`
-	Released bool   `json:"released"`
-	Renewed  int64  `json:"renewed_ms"`
-	Clock    int64  `json:"clock_ms"`
-	Began    *int64 `json:"began_ms"`
-	Fenced   bool   `json:"fenced"`
-	Next     string `json:"next"`
-	Valid    *bool  `json:"valid"`
-	MayOrder *bool  `json:"may_order"`
+	At      int64  `json:"at_ms"`
+	Do      string `json:"do"`
+	Version uint64 `json:"version"`
+	// Incarnation is that of the store at the step, Written that in which its row was
+	// written.
+	Incarnation uint64 `json:"incarnation"`
+	Written     uint64 `json:"written"`
+	Holder      string `json:"holder"`
+	Released    bool   `json:"released"`
+	Renewed     int64  `json:"renewed_ms"`
+	Clock       int64  `json:"clock_ms"`
+	Began       *int64 `json:"began_ms"`
+	Fenced      bool   `json:"fenced"`
+	Next        string `json:"next"`
+	Valid       *bool  `json:"valid"`
+	MayOrder    *bool  `json:"may_order"`
+	// Restored is what an observation returns, Counts what a write returns.
+	Restored *bool `json:"restored"`
+	Counts   *bool `json:"counts"`
+	// Above means that the fencing token is greater than at the last step with this.
+	Above bool `json:"token_above"`
 }
 
 var actions = map[lease.Action]string{lease.Nothing: "nothing", lease.Take: "take", lease.Renew: "renew"}
@@ -59,22 +69,38 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int64) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	state := lease.New("own", 3*time.Second)
+	var token cardamom.Fence
 	for i, s := range steps {
 		now := at(s.At)
+		version, ok := table.Version(s.Incarnation, s.Version)
+		Expect(ok).To(BeTrue())
+		if s.Version == 0 {
+			version = 0
+		}
 		switch s.Do {
 		case "observe":
-			state.Observe(lease.Row{Version: s.Version, Holder: cardamom.InstanceID(s.Holder), Released: s.Released, Renewed: s.Renewed}, s.Clock, now)
+			restored := state.Observe(lease.Row{Version: version, Holder: cardamom.InstanceID(s.Holder), Released: s.Released, Renewed: s.Renewed, Incarnation: s.Written}, s.Incarnation, s.Clock, now)
+			if s.Restored != nil {
+				Expect(restored).To(Equal(*s.Restored), "step %d", i)
+			}
 		case "written":
 			began := now
 			if s.Began != nil {
 				began = at(*s.Began)
 			}
-			state.RecordWrite(s.Version, "127.0.0.1:1", began)
+			counts := state.RecordWrite(version, "127.0.0.1:1", began)
+			Expect(counts).To(Equal(s.Counts == nil || *s.Counts), "step %d", i)
 		case "conflict":
 			state.Invalidate()
+		case "refused":
+			state.Forfeit()
 		case "unreachable":
 			state.RecordOutage(now)
 		}
+		if s.Above {
+			Expect(state.FencingToken()).To(BeNumerically(">", token), "step %d", i)
+			token = state.FencingToken()
+		}
 		if s.Next != "" {
 			Expect(actions[state.Next(now)]).To(Equal(s.Next), "step %d", i)
 		}
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -45,6 +45,9 @@
 	Full    bool
 	Present []*Upstream
 	Removed []cardamom.UpstreamID
+	// Incarnation is the incarnation of the store from which the changes were read, 0
+	// if it has none.
+	Incarnation uint64
 }
 
 // Report is the state that an engine reports.
--- a/table/table.go
+++ b/table/table.go
@@ -28,9 +28,10 @@
 
 // Row is a key with a versioned value. Version 0 means the row does not exist.
 type Row struct {
-	key     string
-	value   []byte
-	version uint64
+	key         string
+	value       []byte
+	version     uint64
+	incarnation uint64
 }
 
 // NewRow returns a row.
@@ -38,6 +39,16 @@
 	return Row{key: key, value: value, version: version}
 }
 
+// In returns the row as read in an incarnation of the store.
+func (r Row) In(incarnation uint64) Row {
+	r.incarnation = incarnation
+	return r
+}
+
+// Incarnation returns the incarnation of the store in which the row was read, also if
+// the row does not exist; 0 for a store that has none.
+func (r Row) Incarnation() uint64 { return r.incarnation }
+
 // Key returns the row's key.
 func (r Row) Key() string { return r.key }
 
