Judge the listing of a restored store by what was known before

When the store returns from an older copy, the copy lists upstreams that have left since, and earlier runs of others, and lacks those that registered since. Taken as it is, a listing brought back upstreams whose leaving had been seen, replaced a run by the one before it, and dropped upstreams that were alive until they registered again.

A listing of an ended incarnation is dropped.

An instance whose store has an older configuration than the coordinator asks the coordinator for the newer one; before, it read the store again and again.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -197,6 +197,7 @@
 	if upstreamsConfirmed.After(l.state.upstreamsConfirmed) {
 		l.state.upstreamsConfirmed = upstreamsConfirmed
 	}
+	l.coordinatorCatalog = reply.GetCatalog()
 	l.catalogBehind = l.state.catalog == nil || reply.GetCatalog() > l.state.catalog.Version()
 	if packed := reply.GetDocument(); len(packed) > 0 {
 		l.needDocument = false
--- a/coord/follow.go
+++ b/coord/follow.go
@@ -9,6 +9,7 @@
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/sleep"
+	"cardamomcourse.example/cardamom/table"
 )
 
 const (
@@ -89,24 +90,31 @@
 			sleep.For(ctx, source.backoff())
 			continue
 		}
-		l.post(func(time.Time) {
-			l.catalogBehind = false
-			if catalog != nil {
-				l.setCatalog(document, catalog, "platform")
-			}
-			// A long poll without a change confirms the catalog as of its end, less the
-			// time that the platform took to answer.
-			l.state.catalogConfirmed = began
-			if catalog == nil && wait > 0 {
-				l.state.catalogConfirmed = began.Add(wait)
-			}
-		})
+		l.post(func(time.Time) { l.applyCatalogRead(document, catalog, began, wait) })
 		if !poll.coordinates {
 			sleep.For(ctx, poll.interval)
 		}
 	}
 }
 
+// applyCatalogRead applies a read of the configuration that began at a time and waited
+// for a change, and found the catalog or, if that is nil, no newer one.
+func (l *Loop) applyCatalogRead(document []byte, catalog *site.Catalog, began time.Time, wait time.Duration) {
+	l.catalogBehind = false
+	if catalog != nil {
+		l.setCatalog(document, catalog, "platform")
+	}
+	// A store that returned from an older copy has an older configuration until the
+	// operator writes the newest again. Others may still have it.
+	l.needDocument = l.state.catalog == nil || l.state.catalog.Version() < l.coordinatorCatalog
+	// A long poll without a change confirms the catalog as of its end, less the
+	// time that the platform took to answer.
+	l.state.catalogConfirmed = began
+	if catalog == nil && wait > 0 {
+		l.state.catalogConfirmed = began.Add(wait)
+	}
+}
+
 // followUpstreams reads the registrations while this instance coordinates or has
 // no fresh data from the coordinator.
 func (l *Loop) followUpstreams(ctx context.Context) {
@@ -166,7 +174,16 @@
 		// The coordinator's data is newer, and it sends each removal only once.
 		return
 	}
+	incarnation := l.state.restored.incarnation
+	if table.Judge(incarnation, listing.Incarnation) == table.Outdated {
+		return
+	}
 	l.state.upstreamsConfirmed = began
+	listing, restored := l.state.restored.filter(listing, l.state.upstreams, now)
+	if restored {
+		l.viewChanged = true
+		l.logger.Warn("store_restored", "before", incarnation, "incarnation", listing.Incarnation, "awaited", len(l.state.restored.missing), "row_version", l.lease.Version())
+	}
 	present := make(map[cardamom.UpstreamID]bool, len(listing.Present))
 	for _, upstream := range listing.Present {
 		present[upstream.ID] = true
@@ -176,15 +193,7 @@
 		}
 		l.setUpstream(upstream, "platform")
 	}
-	removed := listing.Removed
-	if listing.Full {
-		for id := range l.state.upstreams {
-			if !present[id] {
-				removed = append(removed, id)
-			}
-		}
-	}
-	for _, id := range removed {
+	for _, id := range listing.Removed {
 		if present[id] {
 			continue
 		}
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -110,6 +110,8 @@
 	leaving bool
 	// catalogBehind means that the coordinator has a newer catalog.
 	catalogBehind bool
+	// coordinatorCatalog is the version of the coordinator's catalog.
+	coordinatorCatalog uint64
 	// needDocument means that this instance could not read the newer catalog from
 	// the platform and asks the coordinator for it.
 	needDocument bool
@@ -133,7 +135,7 @@
 func New(options Options) *Loop {
 	l := &Loop{
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventQueueSize), views: newViewStore(),
-		state: &controlState{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), storeConcurrency: make(map[cardamom.ServiceID]plan.StoreConcurrency), removals: make(map[cardamom.UpstreamID]removal), ledger: options.Ledger},
+		state: &controlState{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), storeConcurrency: make(map[cardamom.ServiceID]plan.StoreConcurrency), removals: make(map[cardamom.UpstreamID]removal), restored: newRestoration(), ledger: options.Ledger},
 		lease: lease.New(options.ID, options.LeaseDuration), peers: newPeers(), ctx: context.Background(),
 	}
 	options.Demand.OnStart(l.requestStarted)
@@ -249,9 +251,11 @@
 // removeUpstream removes an upstream that is no longer listed.
 func (l *Loop) removeUpstream(id cardamom.UpstreamID, origin string) {
 	if known, ok := l.state.upstreams[id]; ok {
-		if origin == "platform" {
+		read := origin == "platform"
+		if read {
 			l.state.recordRemoval(known, l.state.upstreamsConfirmed)
 		}
+		l.state.restored.recordRemoval(known, read, l.state.upstreamsConfirmed)
 		delete(l.state.upstreams, id)
 		l.viewChanged = true
 		l.logger.Info("upstream_gone", "upstream", id, "origin", origin)
--- a/coord/restore_internal_test.go
+++ b/coord/restore_internal_test.go
@@ -1,18 +1,140 @@
 package coord
 
 import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
 	"cardamomcourse.example/cardamom/table"
 )
 
+//go:embed testdata/restored.json
+var restoredScripts []byte
+
+// restoredScript is a series of listings of a store that is restored now and then.
+type restoredScript struct {
+	Name  string         `json:"name"`
+	Steps []restoredStep `json:"steps"`
+}
+
+// restoredStep is a listing and the upstreams that the instance lists after it.
+type restoredStep struct {
+	At          int64  `json:"at_ms"`
+	Incarnation uint64 `json:"incarnation"`
+	Full        bool   `json:"full"`
+	// Present are registrations as ID/START/NUMBER, with /leaving at the end if the
+	// upstream leaves.
+	Present []string `json:"present"`
+	Removed []string `json:"removed"`
+	// HeardGone are upstreams of which the coordinator said that they are gone.
+	HeardGone []string `json:"heard_gone"`
+	Listed    []string `json:"listed"`
+	Leaving   []string `json:"leaving"`
+	// Runs are the starts of listed upstreams.
+	Runs     map[string]int64 `json:"runs"`
+	Restored bool             `json:"restored"`
+}
+
+func parseRegistration(text string) *site.Upstream {
+	parts := strings.Split(text, "/")
+	upstream := &site.Upstream{Upstream: cardamom.Upstream{ID: cardamom.UpstreamID(parts[0]), Service: "s", Address: parts[0] + ":1", State: cardamom.Live}}
+	_, err := fmt.Sscan(parts[1], &upstream.StartedMs)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Sscan(parts[2], &upstream.RegistrationSeq)
+	Expect(err).NotTo(HaveOccurred())
+	if len(parts) > 3 {
+		upstream.State = cardamom.Leaving
+	}
+	return upstream
+}
+
+func upstreamIDs(names []string) []cardamom.UpstreamID {
+	ids := make([]cardamom.UpstreamID, 0, len(names))
+	for _, name := range names {
+		ids = append(ids, cardamom.UpstreamID(name))
+	}
+	return ids
+}
+
+var _ = Describe("the listed upstreams, when the store returns from an older copy", func() {
+	var scripts []restoredScript
+	if err := json.Unmarshal(restoredScripts, &scripts); err != nil {
+		panic(err)
+	}
+	for _, coordinates := range []bool{false, true} {
+		for _, script := range scripts {
+			It(fmt.Sprintf("%s (coordinator: %t)", script.Name, coordinates), func() {
+				l := newLoop("i-1", site.OrderAccepted)
+				if coordinates {
+					l.lease.RecordWrite(7, l.options.SyncAddress, start)
+					l.beginTerm(true, start)
+				}
+				for i, step := range script.Steps {
+					now := start.Add(time.Duration(step.At) * time.Millisecond)
+					restores := l.state.restored.count
+					for _, id := range step.HeardGone {
+						l.state.upstreamsConfirmed = now
+						l.removeUpstream(cardamom.UpstreamID(id), "coordinator")
+						if l.term != nil {
+							l.term.remove(cardamom.UpstreamID(id))
+						}
+					}
+					update := site.UpstreamUpdate{Full: step.Full, Removed: upstreamIDs(step.Removed), Incarnation: step.Incarnation}
+					for _, text := range step.Present {
+						update.Present = append(update.Present, parseRegistration(text))
+					}
+					l.applyListing(update, now, now)
+					Expect(l.state.restored.count > restores).To(Equal(step.Restored), "step %d", i)
+					listed, leaving := []string{}, []string{}
+					for id, upstream := range l.state.upstreams {
+						listed = append(listed, string(id))
+						if upstream.State == cardamom.Leaving {
+							leaving = append(leaving, string(id))
+						}
+					}
+					Expect(listed).To(ConsistOf(step.Listed), "step %d", i)
+					if step.Leaving != nil {
+						Expect(leaving).To(ConsistOf(step.Leaving), "step %d", i)
+					}
+					for id, startedMs := range step.Runs {
+						Expect(l.state.upstreams[cardamom.UpstreamID(id)].StartedMs).To(Equal(startedMs), "step %d", i)
+					}
+				}
+			})
+		}
+	}
+})
+
 var _ = Describe("an instance, when the store returns from an older copy", func() {
+	catalogOf := func(version uint64) *site.Catalog { return site.NewCatalog(version, nil, nil, site.Limits{}) }
+
+	It("asks the coordinator for the configuration that the copy lacks", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		l.applyCatalogRead([]byte("5"), catalogOf(5), start, 0)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Catalog: 8}, nil, start, start)
+		l.applyCatalogRead([]byte("5"), catalogOf(5), start, 0)
+		Expect(l.report(demand.Report{}).GetNeedDocument()).To(BeTrue())
+		l.applyCatalogRead([]byte("8"), catalogOf(8), start, 0)
+		Expect(l.report(demand.Report{}).GetNeedDocument()).To(BeFalse())
+	})
+
+	It("stays on its configuration while the store has an older one", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		l.applyCatalogRead([]byte("8"), catalogOf(8), start, 0)
+		l.applyCatalogRead([]byte("5"), catalogOf(5), start, 0)
+		Expect(l.state.catalog.Version()).To(BeEquivalentTo(8))
+	})
+
 	It("ends its term at once and takes the lease again as its holder, with a greater fencing token", func() {
 		l := newLoop("i-1", site.OrderAccepted)
 		before, _ := table.Version(4, 100)
--- a/coord/view.go
+++ b/coord/view.go
@@ -56,6 +56,8 @@
 	upstreamsConfirmed time.Time
 	// coordinates means that this instance coordinated when the view was made.
 	coordinates bool
+	// restores is how often the store returned from an older copy.
+	restores int
 }
 
 // UpstreamStats are the requests that instances have in flight at an upstream, and
@@ -67,7 +69,7 @@
 
 // NewView returns a view of a catalog and upstreams.
 func NewView(catalog *site.Catalog, upstreams []*site.Upstream, members []Member) *View {
-	s := controlState{catalog: catalog, upstreams: make(map[cardamom.UpstreamID]*site.Upstream), members: members}
+	s := controlState{catalog: catalog, upstreams: make(map[cardamom.UpstreamID]*site.Upstream), members: members, restored: newRestoration()}
 	for _, upstream := range upstreams {
 		s.upstreams[upstream.ID] = upstream
 	}
@@ -98,6 +100,10 @@
 // Coordinates reports whether this instance coordinates.
 func (v *View) Coordinates() bool { return v.coordinates }
 
+// Restores returns how often the store has returned from an older copy since the
+// instance started, as far as it read registrations.
+func (v *View) Restores() int { return v.restores }
+
 // viewStore holds the current view.
 type viewStore struct {
 	current atomic.Pointer[View]
@@ -128,6 +134,7 @@
 	ledger           *poison.Ledger
 	// removals are the upstreams whose removal this instance saw on the platform.
 	removals map[cardamom.UpstreamID]removal
+	restored *restoration
 }
 
 // removal records that the platform no longer lists an upstream.
@@ -163,7 +170,7 @@
 	v := &View{
 		catalog: s.catalog, services: make(map[cardamom.ServiceID][]*site.Upstream),
 		upstreams: make(map[cardamom.UpstreamID]*site.Upstream, len(s.upstreams)),
-		peerStats: s.peerStats, members: s.members, upstreamsConfirmed: s.upstreamsConfirmed,
+		peerStats: s.peerStats, members: s.members, upstreamsConfirmed: s.upstreamsConfirmed, restores: s.restored.count,
 	}
 	for id, upstream := range s.upstreams {
 		v.upstreams[id] = upstream
--- a/front/front.go
+++ b/front/front.go
@@ -132,6 +132,7 @@
 		return 0
 	})
 	i.metrics.Gauge("upstreams_age_seconds", func() float64 { return clock.Now().Sub(i.loop.View().UpstreamsConfirmed()).Seconds() })
+	i.metrics.Gauge("store_restores", func() float64 { return float64(i.loop.View().Restores()) })
 	i.metrics.Gauge("members", func() float64 { return float64(len(i.loop.View().Members())) })
 	i.metrics.Gauge("coordinates", func() float64 {
 		if i.loop.View().Coordinates() {
