Treat a resumed stream without any event as broken off too

Without an event and without a mark of its end nothing shows that it is complete, so the caller's connection is broken off.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -147,9 +147,13 @@
 	s := x.server
 	s.Demand.Begin(upstream.ID, x.key, x.info.Adapter)
 	defer s.Demand.End(upstream.ID, x.key)
+	lastEventID := x.lastEventID
+	if lastEventID == "" {
+		lastEventID = x.info.LastEventID
+	}
 	request := &conns.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, NonRepeatable: !x.route.Repeatable(),
-		Header: s.Dialect.ForwardHeader(endToEnd(x.r.Header), ForwardOptions{Upstream: upstream.ID, Remaining: time.Until(x.deadline()), LastEventID: x.sentLastEventID(), StartPriority: x.route.Urgency()}),
+		Header: s.Dialect.ForwardHeader(endToEnd(x.r.Header), ForwardOptions{Upstream: upstream.ID, Remaining: time.Until(x.deadline()), LastEventID: lastEventID, StartPriority: x.route.Urgency()}),
 	}
 	x.lastUpstream, x.reportedReady = upstream.ID, false
 	x.firstEventWait = s.Pace.Sent(x.service, upstream.ID, x.info.PromptTokens, now)
@@ -177,15 +181,6 @@
 	return x.handleResponse(upstream, response)
 }
 
-// sentLastEventID returns the id of the event after which the upstream is to continue
-// the stream, empty if it is to begin it.
-func (x *exchange) sentLastEventID() string {
-	if x.lastEventID != "" {
-		return x.lastEventID
-	}
-	return x.info.LastEventID
-}
-
 // handleNotSent handles an upstream that could not be reached.
 func (x *exchange) handleNotSent(upstream *site.Upstream, err error) bool {
 	if x.r.Context().Err() != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,9 +25,6 @@
 // streamRest is what is known of a stream when its response has ended.
 type streamRest struct {
 	framing conns.Framing
-	// continues means that the stream continues another after its last event, so that
-	// nothing may be left of it.
-	continues bool
 	// hasEvents means that the response had a whole event.
 	hasEvents bool
 	// tail is what followed the last whole event.
@@ -36,12 +33,13 @@
 
 // check returns why the stream is not whole, nil if it is. That its response ended in
 // order does not suffice: one without a length and without chunks ends with its
-// connection, also if the upstream fails.
+// connection, also if the upstream fails. If it has no event at all, it doesn't count as
+// the rest of a stream that was complete already.
 func (s streamRest) check() error {
 	switch {
 	case isInsideEvent(s.tail):
 		return errInsideEvent
-	case s.framing == conns.UntilClose && !s.hasEvents && !s.continues:
+	case s.framing == conns.UntilClose && !s.hasEvents:
 		return errNoEvent
 	default:
 		return nil
@@ -54,7 +52,7 @@
 	flusher, _ := x.w.(http.Flusher)
 	var partial []byte
 	var lastEvent time.Time
-	rest := streamRest{framing: response.Framing(), continues: x.sentLastEventID() != ""}
+	rest := streamRest{framing: response.Framing()}
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
