Let the soak restore the store from an older copy

Faults can be chosen by name (--faults). A restore copies the store, goes on for up to two seconds, is away for a moment and returns with the next era; the operator and the upstreams write again what the copy lacks, in any order. New checks: one holder for each fencing token, the newest configuration at every instance at the end, and a quarter of the last second's requests served.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -24,13 +24,19 @@
 	// soakFaultInterval is the mean time between the starts of two faults.
 	soakFaultInterval = 350 * time.Millisecond
 	// soakSettleTime is how long a soak continues after the last fault has ended.
-	soakSettleTime = 3 * time.Second
+	soakSettleTime = 4 * time.Second
+	// soakServedTime is the time at the end in which callers are served as before.
+	soakServedTime = time.Second
 	// soakCallers is the number of concurrent callers.
 	soakCallers = 12
 	// soakCallerPause is the mean pause between two requests of a caller.
 	soakCallerPause = 25 * time.Millisecond
 	// soakAddressTTL is how long callers use an address before the next lookup.
 	soakAddressTTL = 1500 * time.Millisecond
+	// soakMaxAway is the longest time for which a store that is restored is away.
+	soakMaxAway = 400 * time.Millisecond
+	// soakMaxRewrite is the longest time between two writes of what the copy lacks.
+	soakMaxRewrite = 150 * time.Millisecond
 	// soakInstances is the default number of instances.
 	soakInstances = 4
 	// soakEngineCapacity is how many models an engine can have loaded.
@@ -55,6 +61,7 @@
 	var seed uint64
 	var seeds, instances int
 	var span time.Duration
+	var names []string
 	command := &cobra.Command{
 		Use: "soak", Short: "Inject seeded faults into instances that run on a fake platform", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -69,8 +76,12 @@
 			for n := range seeds {
 				list = append(list, seed+uint64(n))
 			}
+			faults, err := chooseFaults(names)
+			if err != nil {
+				return err
+			}
 			for _, next := range list {
-				runSoak(command.Context(), wire, program, folder, next, instances, span)
+				runSoak(command.Context(), wire, soakRun{program: program, folder: folder, seed: next, instances: instances, span: span, faults: faults})
 			}
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
@@ -91,6 +102,7 @@
 	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the first soak")
 	command.Flags().IntVar(&seeds, "seeds", 1, "number of soaks, run one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "number of instances")
+	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name as in the result; all if empty")
 	command.Flags().DurationVar(&span, "span", 8*time.Second, "time during which faults start")
 	return command
 }
@@ -127,13 +139,16 @@
 	random    *rand.Rand
 	wire      *soakWire
 	seed      uint64
+	faults    []soakFault
 
 	mu            sync.Mutex
 	sent          map[string]*sentRequest
 	upstreamCount int
 	version       int
 	pendingUndos  sync.WaitGroup
-	affected      map[*host.Instance]bool
+	// ended is when callers were told to stop.
+	ended    time.Time
+	affected map[*host.Instance]bool
 }
 
 // sentRequest is a request and its response as the caller saw them.
@@ -147,8 +162,20 @@
 	answered bool
 }
 
-func runSoak(ctx context.Context, wire *soakWire, program, folder string, seed uint64, instances int, span time.Duration) {
+// soakRun describes one soak.
+type soakRun struct {
+	program   string
+	folder    string
+	seed      uint64
+	instances int
+	// span is the time during which faults start.
+	span   time.Duration
+	faults []soakFault
+}
+
+func runSoak(ctx context.Context, wire *soakWire, run soakRun) {
 	wire.Seeds++
+	folder, seed := run.folder, run.seed
 	if folder == "" {
 		made, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -165,9 +192,9 @@
 	}
 	s := &soak{
 		random: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, sent: make(map[string]*sentRequest), version: 1,
-		affected: make(map[*host.Instance]bool),
+		affected: make(map[*host.Instance]bool), faults: run.faults,
 	}
-	if err := s.start(ctx, program, logs, instances); err != nil {
+	if err := s.start(ctx, run.program, logs, run.instances); err != nil {
 		wire.NotStarted = append(wire.NotStarted, fmt.Sprintf("seed %d: %v", seed, err))
 		return
 	}
@@ -184,12 +211,14 @@
 			s.runCaller(callers, n, random)
 		}()
 	}
-	for end := time.Now().Add(span); time.Now().Before(end); {
+	for end := time.Now().Add(run.span); time.Now().Before(end); {
 		s.beginFault()
 		sleep.For(ctx, time.Duration(s.random.Int64N(int64(2*soakFaultInterval))))
 	}
 	s.pendingUndos.Wait()
 	sleep.For(ctx, soakSettleTime)
+	s.checkConfiguration()
+	s.ended = time.Now()
 	stop()
 	group.Wait()
 	s.check()
@@ -200,7 +229,7 @@
 func (s *soak) start(ctx context.Context, program, folder string, instances int) error {
 	options := host.SiteOptions{
 		Program: program, Folder: folder, Instances: instances, Config: host.Config(s.version, soakModels),
-		LinkStore: true, Upstreams: []host.UpstreamSpec{
+		LinkStore: true, Era: "1", Upstreams: []host.UpstreamSpec{
 			s.upstreamSpec("models", "m1", "m2"), s.upstreamSpec("models", "m3", "m4"), s.upstreamSpec("models", "m5", "m6"), s.upstreamSpec("plain"), s.upstreamSpec("plain"), s.upstreamSpec("plain"),
 		},
 	}
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -43,6 +43,8 @@
 	for _, id := range ids {
 		s.checkResponse(id, s.sent[id], runs[id])
 	}
+	s.checkTokens()
+	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
 			s.addViolation(instance.Name() + " panicked")
@@ -50,6 +52,51 @@
 	}
 }
 
+// checkTokens checks that no two instances sent orders with the same fencing token.
+func (s *soak) checkTokens() {
+	holders := make(map[uint64]string)
+	for _, upstream := range s.site.Upstreams {
+		for token, holder := range upstream.Holders() {
+			if known, ok := holders[token]; ok && known != holder {
+				s.addViolation(fmt.Sprintf("%s and %s sent orders with the token %d", known, holder, token))
+			}
+			holders[token] = holder
+		}
+	}
+}
+
+// checkConfiguration checks that all instances have the newest configuration.
+func (s *soak) checkConfiguration() {
+	for _, instance := range s.site.Instances {
+		text, err := s.site.Metrics(instance)
+		if err != nil {
+			s.addViolation(fmt.Sprintf("%s has no metrics: %v", instance.Name(), err))
+			continue
+		}
+		if expected := fmt.Sprintf("catalog_version %d\n", s.version); !strings.Contains(text, expected) {
+			s.addViolation(fmt.Sprintf("%s does not have configuration %d", instance.Name(), s.version))
+		}
+	}
+}
+
+// checkServed checks that at the end callers are served again: the platform asks for a
+// quarter at least.
+func (s *soak) checkServed() {
+	sent, served := 0, 0
+	for _, e := range s.sent {
+		if age := s.ended.Sub(e.began); age <= 0 || age > soakServedTime {
+			continue
+		}
+		sent++
+		if e.answered && e.response.Status == http.StatusOK {
+			served++
+		}
+	}
+	if served*4 < sent {
+		s.addViolation(fmt.Sprintf("%d of the last %d requests were served", served, sent))
+	}
+}
+
 // checkRun checks one run that an upstream recorded.
 func (s *soak) checkRun(upstream *host.Upstream, run host.Run) {
 	sent, ok := s.sent[run.ID]
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -3,23 +3,30 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cardamomcourse.example/cardamom/fakes/host"
 )
 
-// soakFaults are the faults of a soak by name. Each starts at once, is undone
-// after span and may overlap with others.
-var soakFaults = []struct {
+// soakFault is a fault of a soak. It starts at once, is undone after span and may
+// overlap with others.
+type soakFault struct {
 	name  string
 	begin func(s *soak, random *rand.Rand, span time.Duration) (undo func())
-}{
+}
+
+// soakFaults are all faults of a soak.
+var soakFaults = []soakFault{
 	{"store_down", storeFault(host.Down)},
 	{"store_reset", storeFault(host.Reset)},
 	{"store_loses_replies", storeFault(host.LoseReplies)},
 	{"store_forgets", func(s *soak, _ *rand.Rand, _ time.Duration) func() { s.site.Store.Compact(); return nil }},
+	{"store_restored", restoreStore},
 	{"store_link_silent", storeLinkFault(host.Silent)},
 	{"store_link_one_way", storeLinkFault(host.OneWay)},
 	{"store_link_delayed", storeLinkFault(host.Delayed)},
@@ -36,10 +43,26 @@
 	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) func() { s.publishConfig(); return nil }},
 }
 
+// chooseFaults returns the faults with the names, all if there are none.
+func chooseFaults(names []string) ([]soakFault, error) {
+	if len(names) == 0 {
+		return soakFaults, nil
+	}
+	var chosen []soakFault
+	for _, name := range names {
+		at := slices.IndexFunc(soakFaults, func(fault soakFault) bool { return fault.name == name })
+		if at < 0 {
+			return nil, eris.Errorf("no fault is named %q", name)
+		}
+		chosen = append(chosen, soakFaults[at])
+	}
+	return chosen, nil
+}
+
 // beginFault starts a random fault and schedules its end.
 func (s *soak) beginFault() {
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
-	chosen := soakFaults[s.random.IntN(len(soakFaults))]
+	chosen := s.faults[s.random.IntN(len(s.faults))]
 	span := 200*time.Millisecond + time.Duration(s.random.Int64N(int64(1800*time.Millisecond)))
 	s.wire.Faults[chosen.name]++
 	undo := chosen.begin(s, random, span)
@@ -60,6 +83,31 @@
 	}
 }
 
+// restoreStore copies the store at once; the returned function makes it return from the
+// copy after a moment away. Later the operator and the upstreams write again what the
+// copy lacks, in any order.
+func restoreStore(s *soak, random *rand.Rand, _ time.Duration) func() {
+	s.site.Store.Copy()
+	return func() {
+		s.site.Store.SetFault(host.Reset)
+		time.Sleep(time.Duration(random.Int64N(int64(soakMaxAway))))
+		s.site.Store.Restore()
+		s.site.Store.SetFault(host.NoFault)
+		s.mu.Lock()
+		upstreams := slices.Clone(s.site.Upstreams)
+		s.mu.Unlock()
+		writes := []func(){func() { s.site.Store.Put("op", "config", s.config()) }}
+		for _, upstream := range upstreams {
+			writes = append(writes, upstream.Register)
+		}
+		random.Shuffle(len(writes), func(i, j int) { writes[i], writes[j] = writes[j], writes[i] })
+		for _, write := range writes {
+			time.Sleep(time.Duration(random.Int64N(int64(soakMaxRewrite))))
+			write()
+		}
+	}
+}
+
 func storeLinkFault(fault host.LinkFault) func(*soak, *rand.Rand, time.Duration) func() {
 	return func(s *soak, _ *rand.Rand, _ time.Duration) func() {
 		s.storeLink.SetFault(fault)
@@ -173,10 +221,19 @@
 
 // publishConfig publishes a new configuration with an added route.
 func (s *soak) publishConfig() {
+	s.mu.Lock()
 	s.version += 3
-	s.site.Store.Put("op", "config", host.Config(s.version, soakModels, map[string]any{
+	s.mu.Unlock()
+	s.site.Store.Put("op", "config", s.config())
+}
+
+// config returns the configuration in force.
+func (s *soak) config() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return host.Config(s.version, soakModels, map[string]any{
 		"name": fmt.Sprintf("added%d", s.version), "host": "h.example", "pathPrefix": "/added/", "kind": "idempotent", "service": "plain", "timeoutMs": 5000, "maxAttempts": 1,
-	}))
+	})
 }
 
 func (s *soak) addViolation(violation string) {
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -104,6 +105,8 @@
 	// orders counts the accepted orders.
 	orders int64
 	fence  uint64
+	// holders has the holder of each fencing token that came with an order.
+	holders map[uint64]string
 	// busy means that a load is in progress.
 	busy          bool
 	heartbeats    int64
@@ -120,7 +123,7 @@
 // NewUpstream starts an upstream and registers it in the store unless that is nil.
 func NewUpstream(store *Store, spec UpstreamSpec) *Upstream {
 	u := &Upstream{
-		spec: spec, store: store, resident: make(map[string][]string), disk: make(map[string]bool),
+		spec: spec, store: store, resident: make(map[string][]string), disk: make(map[string]bool), holders: make(map[uint64]string),
 		startedMS: time.Now().UnixMilli(), state: "ready", closed: make(chan struct{}),
 	}
 	for _, model := range spec.Models {
@@ -173,6 +176,13 @@
 	return u.overfullLoads
 }
 
+// Holders returns the holder of each fencing token that came with an order.
+func (u *Upstream) Holders() map[uint64]string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.holders)
+}
+
 // DrainingSince returns when the upstream began to drain, zero if it has not.
 func (u *Upstream) DrainingSince() time.Time {
 	u.mu.Lock()
@@ -272,6 +282,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.holders[body.FencingToken] = body.Holder
 	switch {
 	case r.Header.Get("Expect-Instance") != u.spec.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -72,11 +72,14 @@
 	Config []byte
 	// LinkStore puts a Link, a fault-injecting TCP proxy, in front of the store.
 	LinkStore bool
+	// Era is what the store sends as its era, empty for a store that has none.
+	Era string
 }
 
 // NewSite starts the fakes and the processes.
 func NewSite(options SiteOptions) (*Site, error) {
 	s := &Site{Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: RequestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s.Store.SetEra(options.Era)
 	s.Store.Put("op", "config", options.Config)
 	for _, spec := range options.Upstreams {
 		s.Upstreams = append(s.Upstreams, NewUpstream(s.Store, spec))
