--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -62,6 +62,7 @@
 	var seeds, instances int
 	var span time.Duration
 	var names []string
+	var unfenced bool
 	command := &cobra.Command{
 		Use: "soak", Short: "Inject seeded faults into instances that run on a fake platform", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -81,7 +82,7 @@
 				return err
 			}
 			for _, next := range list {
-				runSoak(command.Context(), wire, soakRun{program: program, folder: folder, seed: next, instances: instances, span: span, faults: faults})
+				runSoak(command.Context(), wire, soakRun{program: program, folder: folder, seed: next, instances: instances, span: span, faults: faults, unfenced: unfenced})
 			}
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
@@ -103,6 +104,7 @@
 	command.Flags().IntVar(&seeds, "seeds", 1, "number of soaks, run one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "number of instances")
 	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name as in the result; all if empty")
+	command.Flags().BoolVar(&unfenced, "unfenced", false, "engines accept orders with an older fencing token")
 	command.Flags().DurationVar(&span, "span", 8*time.Second, "time during which faults start")
 	return command
 }
@@ -140,6 +142,7 @@
 	wire      *soakWire
 	seed      uint64
 	faults    []soakFault
+	unfenced  bool
 
 	mu            sync.Mutex
 	sent          map[string]*sentRequest
@@ -171,6 +174,8 @@
 	// span is the time during which faults start.
 	span   time.Duration
 	faults []soakFault
+	// unfenced means that engines don't check fencing tokens.
+	unfenced bool
 }
 
 func runSoak(ctx context.Context, wire *soakWire, run soakRun) {
@@ -192,7 +197,7 @@
 	}
 	s := &soak{
 		random: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, sent: make(map[string]*sentRequest), version: 1,
-		affected: make(map[*host.Instance]bool), faults: run.faults,
+		affected: make(map[*host.Instance]bool), faults: run.faults, unfenced: run.unfenced,
 	}
 	if err := s.start(ctx, run.program, logs, run.instances); err != nil {
 		wire.NotStarted = append(wire.NotStarted, fmt.Sprintf("seed %d: %v", seed, err))
@@ -229,7 +234,7 @@
 func (s *soak) start(ctx context.Context, program, folder string, instances int) error {
 	options := host.SiteOptions{
 		Program: program, Folder: folder, Instances: instances, Config: host.Config(s.version, soakModels),
-		LinkStore: true, Era: "1", Upstreams: []host.UpstreamSpec{
+		LinkStore: true, Era: "1", Unfenced: s.unfenced, Upstreams: []host.UpstreamSpec{
 			s.upstreamSpec("models", "m1", "m2"), s.upstreamSpec("models", "m3", "m4"), s.upstreamSpec("models", "m5", "m6"), s.upstreamSpec("plain"), s.upstreamSpec("plain"), s.upstreamSpec("plain"),
 		},
 	}
@@ -260,7 +265,7 @@
 	s.upstreamCount++
 	return host.UpstreamSpec{
 		ID: fmt.Sprintf("%s-%d", service, s.upstreamCount), Service: service, DataCentre: "x", Models: models, Disk: soakModels, Slots: 16,
-		LoadTime: 120 * time.Millisecond, MaxModels: soakEngineCapacity, WithLink: true,
+		LoadTime: 120 * time.Millisecond, MaxModels: soakEngineCapacity, WithLink: true, Unfenced: s.unfenced,
 	}
 }
 
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -43,7 +44,7 @@
 	for _, id := range ids {
 		s.checkResponse(id, s.sent[id], runs[id])
 	}
-	s.checkTokens()
+	s.checkOrders()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
@@ -52,16 +53,25 @@
 	}
 }
 
-// checkTokens checks that no two instances sent orders with the same fencing token.
-func (s *soak) checkTokens() {
-	holders := make(map[uint64]string)
+// checkOrders checks that no two instances sent orders with the same fencing token, and,
+// where engines don't check tokens, that holders neither overlap nor take turns.
+func (s *soak) checkOrders() {
+	var all []host.ReceivedOrder
 	for _, upstream := range s.site.Upstreams {
-		for token, holder := range upstream.Holders() {
-			if known, ok := holders[token]; ok && known != holder {
-				s.addViolation(fmt.Sprintf("%s and %s sent orders with the token %d", known, holder, token))
-			}
-			holders[token] = holder
+		all = append(all, upstream.Received()...)
+	}
+	slices.SortFunc(all, func(a, b host.ReceivedOrder) int { return a.At.Compare(b.At) })
+	holders := make(map[uint64]string)
+	highest := uint64(0)
+	for _, order := range all {
+		if known, ok := holders[order.Token]; ok && known != order.Holder {
+			s.addViolation(fmt.Sprintf("%s and %s sent orders with the token %d", known, order.Holder, order.Token))
+		}
+		holders[order.Token] = order.Holder
+		if s.unfenced && order.Token < highest {
+			s.addViolation(fmt.Sprintf("%s sent an order with the token %d after %s one with %d", order.Holder, order.Token, holders[highest], highest))
 		}
+		highest = max(highest, order.Token)
 	}
 }
 
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -69,6 +69,13 @@
 	At     time.Time
 }
 
+// ReceivedOrder is an order that arrived at an engine.
+type ReceivedOrder struct {
+	At     time.Time
+	Holder string
+	Token  uint64
+}
+
 // UpstreamSpec describes an upstream.
 type UpstreamSpec struct {
 	ID         string
@@ -83,6 +90,8 @@
 	LoadTime time.Duration
 	// MaxModels is how many models fit in memory, 0 for no limit.
 	MaxModels int
+	// Unfenced makes the engine accept orders with an older fencing token.
+	Unfenced bool
 	// WithLink puts a Link, a fault-injecting TCP proxy, in front of the upstream.
 	WithLink bool
 }
@@ -105,8 +114,8 @@
 	// orders counts the accepted orders.
 	orders int64
 	fence  uint64
-	// holders has the holder of each fencing token that came with an order.
-	holders map[uint64]string
+	// received are the orders that arrived, also those that were refused.
+	received []ReceivedOrder
 	// busy means that a load is in progress.
 	busy          bool
 	heartbeats    int64
@@ -123,7 +132,7 @@
 // NewUpstream starts an upstream and registers it in the store unless that is nil.
 func NewUpstream(store *Store, spec UpstreamSpec) *Upstream {
 	u := &Upstream{
-		spec: spec, store: store, resident: make(map[string][]string), disk: make(map[string]bool), holders: make(map[uint64]string),
+		spec: spec, store: store, resident: make(map[string][]string), disk: make(map[string]bool),
 		startedMS: time.Now().UnixMilli(), state: "ready", closed: make(chan struct{}),
 	}
 	for _, model := range spec.Models {
@@ -176,11 +185,11 @@
 	return u.overfullLoads
 }
 
-// Holders returns the holder of each fencing token that came with an order.
-func (u *Upstream) Holders() map[uint64]string {
+// Received returns the orders that arrived, also those that were refused.
+func (u *Upstream) Received() []ReceivedOrder {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return maps.Clone(u.holders)
+	return slices.Clone(u.received)
 }
 
 // DrainingSince returns when the upstream began to drain, zero if it has not.
@@ -282,19 +291,19 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.holders[body.FencingToken] = body.Holder
+	u.received = append(u.received, ReceivedOrder{At: time.Now(), Holder: body.Holder, Token: body.FencingToken})
 	switch {
 	case r.Header.Get("Expect-Instance") != u.spec.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case body.FencingToken < u.fence:
+	case body.FencingToken < u.fence && !u.spec.Unfenced:
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	case u.busy && body.Adapter == "", body.Expect != nil && *body.Expect != u.orders:
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	u.fence = body.FencingToken
+	u.fence = max(u.fence, body.FencingToken)
 	u.orders++
 	if body.Adapter != "" {
 		u.resident[body.Model] = append(u.resident[body.Model], body.Adapter)
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -72,6 +72,9 @@
 	Config []byte
 	// LinkStore puts a Link, a fault-injecting TCP proxy, in front of the store.
 	LinkStore bool
+	// Unfenced tells the instances that engines accept orders with an older fencing
+	// token.
+	Unfenced bool
 	// Era is what the store sends as its era, empty for a store that has none.
 	Era string
 }
@@ -94,7 +97,7 @@
 		s.StoreLink, address = link, link.Address()
 	}
 	for n := range options.Instances {
-		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), options.Program, address)
+		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), options.Program, address, !options.Unfenced)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -138,7 +141,7 @@
 
 // newInstance writes the settings file of an instance and returns the instance
 // without starting it.
-func (s *Site) newInstance(name, program, store string) (*Instance, error) {
+func (s *Site) newInstance(name, program, store string, fenced bool) (*Instance, error) {
 	addresses := make([]string, 5)
 	for i := range addresses {
 		address, err := freeAddress()
@@ -148,7 +151,7 @@
 		addresses[i] = address
 	}
 	body, err := json.Marshal(map[string]any{
-		"instance": name, "data_centre": "x", "store": store, "lease_ms": leaseMS, "fences_checked": true, "grace_ms": graceMS,
+		"instance": name, "data_centre": "x", "store": store, "lease_ms": leaseMS, "fences_checked": fenced, "grace_ms": graceMS,
 		"listen":  map[string]any{"entry": addresses[0], "ready": addresses[1], "addresses": addresses[2], "sync": addresses[3], "metrics": addresses[4]},
 		"retries": map[string]any{"ratio": 0.2, "window_ms": 10000, "slack": 50},
 	})
