Hold what a coordinator lists after a restore against what a member knows

A coordinator that started after the store's restore takes the copy's listing as it is, and its members, which had seen an upstream leave, took it back from there: the same fault as with their own reads. They now enter the incarnation of the coordinator's term, hold back what they know to be older, and ask for everything when that is forgotten.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -11,6 +11,7 @@
 	"cardamomcourse.example/cardamom/framed"
 	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
+	"cardamomcourse.example/cardamom/table"
 )
 
 const (
@@ -95,6 +96,11 @@
 		l.options.Demand.Restore(report)
 		return
 	}
+	if !l.askAgainAt.IsZero() && now.After(l.askAgainAt) {
+		// What was not believed is believed now, and comes only with everything.
+		l.position.term, l.position.change, l.askAgainAt = 0, 0, time.Time{}
+		request.Tenure, request.Change = 0, 0
+	}
 	l.exchanging = true
 	client := l.peers.dial(address)
 	go func() {
@@ -216,10 +222,18 @@
 			l.state.catalogConfirmed = confirmed
 		}
 	}
+	before := l.state.restored.incarnation
+	if incarnation := table.Incarnation(reply.GetTenure()); l.state.restored.enter(incarnation, l.state.upstreams, began) {
+		l.logRestored(before, incarnation)
+	}
 	present := make(map[cardamom.UpstreamID]bool, len(reply.GetUpstreams()))
 	for _, wire := range reply.GetUpstreams() {
 		upstream := decodeUpstream(wire)
 		present[upstream.ID] = true
+		if believed, until := l.state.restored.believe(upstream, began); !believed {
+			l.askAgainAt = until
+			continue
+		}
 		if !l.state.removed(upstream, upstreamsConfirmed) {
 			l.setUpstream(upstream, "coordinator")
 		}
@@ -372,7 +386,8 @@
 	}
 	upstreamsConfirmed := now.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
 	for _, wire := range reply.GetUpstreams() {
-		if upstream := decodeUpstream(wire); !l.state.removed(upstream, upstreamsConfirmed) {
+		upstream := decodeUpstream(wire)
+		if believed, _ := l.state.restored.believe(upstream, now); believed && !l.state.removed(upstream, upstreamsConfirmed) {
 			l.setUpstream(upstream, "coordinator")
 		}
 	}
--- a/coord/follow.go
+++ b/coord/follow.go
@@ -168,6 +168,12 @@
 	}
 }
 
+// logRestored logs that the store returned from an older copy.
+func (l *Loop) logRestored(before, incarnation uint64) {
+	l.viewChanged = true
+	l.logger.Warn("store_restored", "before", before, "incarnation", incarnation, "awaited", len(l.state.restored.missing))
+}
+
 // applyListing applies registrations that were read from the platform.
 func (l *Loop) applyListing(listing site.UpstreamUpdate, began, now time.Time) {
 	if l.term == nil && began.Before(l.state.upstreamsConfirmed) {
@@ -181,8 +187,7 @@
 	l.state.upstreamsConfirmed = began
 	listing, restored := l.state.restored.filter(listing, l.state.upstreams, now)
 	if restored {
-		l.viewChanged = true
-		l.logger.Warn("store_restored", "before", incarnation, "incarnation", listing.Incarnation, "awaited", len(l.state.restored.missing), "row_version", l.lease.Version())
+		l.logRestored(incarnation, listing.Incarnation)
 	}
 	present := make(map[cardamom.UpstreamID]bool, len(listing.Present))
 	for _, upstream := range listing.Present {
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -107,7 +107,10 @@
 	// minTerm is the least term whose coordinator may still coordinate: those of the
 	// terms before it are known to have been replaced, and their answers are ignored.
 	minTerm uint64
-	leaving bool
+	// askAgainAt is when to ask the coordinator for all upstreams, since one that it lists
+	// was not believed until then; zero if there is none.
+	askAgainAt time.Time
+	leaving    bool
 	// catalogBehind means that the coordinator has a newer catalog.
 	catalogBehind bool
 	// coordinatorCatalog is the version of the coordinator's catalog.
--- a/coord/restore.go
+++ b/coord/restore.go
@@ -20,7 +20,8 @@
 // returns from an older copy: the copy has upstreams that have left since and lacks others
 // that run.
 type restoration struct {
-	// incarnation is that of the store from which registrations were last read.
+	// incarnation is that of the store from which registrations were last read, by this
+	// instance or by the coordinator.
 	incarnation uint64
 	known       bool
 	// count is how often the store was restored since the instance started.
@@ -69,6 +70,19 @@
 	r.gone[upstream.ID] = last
 }
 
+// enter records that registrations come from an incarnation of the store, and reports
+// whether the store was restored since the last.
+func (r *restoration) enter(incarnation uint64, listed map[cardamom.UpstreamID]*site.Upstream, now time.Time) bool {
+	restored := r.known && table.Judge(r.incarnation, incarnation) == table.Restored
+	if restored {
+		r.begin(listed, now)
+	}
+	if restored || !r.known {
+		r.incarnation, r.known = incarnation, true
+	}
+	return restored
+}
+
 // begin records what was known when the store returned from a copy.
 func (r *restoration) begin(listed map[cardamom.UpstreamID]*site.Upstream, now time.Time) {
 	r.count++
@@ -101,16 +115,22 @@
 	}
 }
 
+// believe reports whether an upstream that the coordinator lists is not older than what
+// was known here, and until when that is so. The coordinator may know less: it may have
+// started after the store was restored.
+func (r *restoration) believe(upstream *site.Upstream, now time.Time) (bool, time.Time) {
+	if !r.isStale(upstream, now) {
+		return true, time.Time{}
+	}
+	return false, r.before[upstream.ID].until
+}
+
 // filter returns the part of a listing that can be believed, given what was listed until
 // now. It holds back stale registrations, and keeps upstreams that are missing until
 // their time to register again is over. It reports whether the store was restored since
 // the last listing.
 func (r *restoration) filter(listing site.UpstreamUpdate, listed map[cardamom.UpstreamID]*site.Upstream, now time.Time) (site.UpstreamUpdate, bool) {
-	restored := r.known && table.Judge(r.incarnation, listing.Incarnation) == table.Restored
-	if restored {
-		r.begin(listed, now)
-	}
-	r.incarnation, r.known = listing.Incarnation, true
+	restored := r.enter(listing.Incarnation, listed, now)
 	out := site.UpstreamUpdate{Removed: slices.Clone(listing.Removed), Incarnation: listing.Incarnation}
 	for _, id := range listing.Removed {
 		delete(r.missing, id)
--- a/coord/restore_internal_test.go
+++ b/coord/restore_internal_test.go
@@ -173,4 +173,41 @@
 		Expect(l.position.coordinator).To(Equal("i-1:2"))
 		Expect(l.minTerm).To(BeZero())
 	})
+
+	It("does not take an upstream that has left back from a coordinator that knows less", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		exchange := func(incarnation, number uint64, now time.Time, reply *syncpb.ExchangeReply) {
+			tenure, _ := table.Version(incarnation, number)
+			reply.Coordinates, reply.Tenure = true, tenure
+			l.handleExchangeReply("i-1:2", reply, nil, now, now)
+		}
+		upstream := &syncpb.Upstream{Id: "x", Service: "s", Address: "x:1", Born: 7}
+		exchange(4, 100, start, &syncpb.ExchangeReply{Full: true, Upstreams: []*syncpb.Upstream{upstream}})
+		exchange(4, 100, start.Add(time.Second), &syncpb.ExchangeReply{Gone: []string{"x"}})
+		exchange(5, 92, start.Add(2*time.Second), &syncpb.ExchangeReply{Full: true, Upstreams: []*syncpb.Upstream{upstream}})
+		Expect(l.state.upstreams).To(BeEmpty())
+		Expect(l.state.restored.count).To(Equal(1))
+		Expect(l.askAgainAt).To(BeTemporally("~", start.Add(removalRetention), 2*time.Second))
+		exchange(5, 92, l.askAgainAt.Add(time.Second), &syncpb.ExchangeReply{Full: true, Upstreams: []*syncpb.Upstream{upstream}})
+		Expect(l.state.upstreams).To(HaveKey(cardamom.UpstreamID("x")))
+	})
+
+	It("takes an upstream back from the coordinator that has started again", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		before, _ := table.Version(4, 100)
+		after, _ := table.Version(5, 92)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: before, Full: true, Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 7}}}, nil, start, start)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: before, Gone: []string{"x"}}, nil, start, start)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: after, Full: true, Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 9}}}, nil, start, start)
+		Expect(l.state.upstreams).To(HaveKey(cardamom.UpstreamID("x")))
+	})
+
+	It("keeps the run that it knows if the coordinator lists an earlier one", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		before, _ := table.Version(4, 100)
+		after, _ := table.Version(5, 92)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: before, Full: true, Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:1", Born: 9}}}, nil, start, start)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: after, Full: true, Upstreams: []*syncpb.Upstream{{Id: "x", Service: "s", Address: "x:0", Born: 7}}}, nil, start, start)
+		Expect(l.state.upstreams["x"].StartedMs).To(BeEquivalentTo(9))
+	})
 })
