--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,8 +83,8 @@
 	lastEventID string
 	// framing is how the end of the last response was marked.
 	framing conns.Framing
-	// tailBytes is the length of what followed the last whole event when the stream
-	// ended.
+	// tailBytes is the length of what followed the last whole event when the last
+	// response ended.
 	tailBytes int
 }
 
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -39,7 +39,7 @@
 func (x *exchange) handleResponse(upstream *site.Upstream, response *conns.Response) bool {
 	now := time.Now()
 	status := response.Status()
-	x.framing = response.Framing()
+	x.framing, x.tailBytes = response.Framing(), 0
 	if status >= http.StatusInternalServerError {
 		x.runs++
 		x.server.Health.Failed(upstream.ID, health.ServerError, now)
