Reserve an order's memory until its first send is settled too

What callers saw: a cell of cardd could load more on an engine than its memory (110 MB of 100), so that the engine would refuse or fail requests of both models.

Cause: an order that is sent again under its ID may have been accepted the first time. The failure of a later send (a stale fencing token, a refusal, no connection, a witness that doesn't answer) was taken as proof that the order took no effect, and its memory was freed and its record at the witness removed.

ErrUnreachable and ErrNotRecorded after a lost reply have the same effect without any copy.

Why this works: a failed send settles an order only if no send before it can have been accepted. An uncertain order that the engine refuses is not sent again: a newer fencing token is, and a report with that token shows whether the order was accepted, as none of its sends can be any more. Engines without fencing tokens can't show that; there a refusal still settles, since they accept again what they accepted.

--- a/cells/cell.go
+++ b/cells/cell.go
@@ -16,6 +16,7 @@
 package cells
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"time"
@@ -39,8 +40,13 @@
 type pending struct {
 	order    engine.Order
 	sentAt   time.Time
-	accepted bool
 	inFlight bool
+	// uncertain is set once a send of the order may have been accepted, after which
+	// the failure of another send doesn't prove that the order took no effect.
+	uncertain bool
+	// refused is set once the engine has refused a send of an uncertain order. The
+	// order is not sent again: a report with a newer fencing token settles it.
+	refused bool
 }
 
 // upstream is what the cell knows of one upstream.
@@ -206,15 +212,15 @@
 	}
 }
 
-// settle removes the pending orders that the report shows accepted, and those of
-// an earlier holder that a fenced engine can no longer accept.
+// settle removes the pending orders that the report shows accepted, and those that
+// the engine can no longer accept because it has seen a newer fencing token.
 func (c *Cell) settle(u *upstream, report *engine.Report) {
 	accepted := make(map[string]bool, len(report.Orders))
 	for _, id := range report.Orders {
 		accepted[id] = true
 	}
 	for id, p := range u.pending {
-		stale := c.fencing && u.fenced && p.order.Fence < c.fence.ForOrder(0)
+		stale := c.fencing && p.order.Fence < report.Fence
 		if !accepted[id] && !stale {
 			continue
 		}
@@ -229,7 +235,10 @@
 	}
 }
 
-// ApplySendResult applies the result of sending an order.
+// ApplySendResult applies the result of one send of an order. A send that failed
+// says nothing of earlier sends, which may have been accepted without a reply. Only an
+// engine without fencing tokens settles those by refusing the order, since it accepts
+// again what it has accepted and no report can show more.
 func (c *Cell) ApplySendResult(id cardamom.UpstreamID, orderID string, result error, now time.Time) {
 	u, ok := c.upstreams[id]
 	if !ok {
@@ -240,15 +249,19 @@
 		return
 	}
 	p.inFlight = false
-	switch {
-	case result == nil:
-		p.accepted = true
-	case provesNoEffect(result):
-		delete(u.pending, orderID)
-		u.retryAfter[p.order.Model] = now.Add(failedLoadBackoff)
-		if p.order.Kind == engine.OrderLoad {
-			c.recordEnded(u, orderID)
-		}
+	if !hadNoEffect(result) {
+		p.uncertain = true
+		return
+	}
+	refused := errors.Is(result, engine.ErrRefused)
+	if p.uncertain && (c.fencing || !refused) {
+		p.refused = refused && p.order.Kind != engine.OrderFence
+		return
+	}
+	delete(u.pending, orderID)
+	u.retryAfter[p.order.Model] = now.Add(failedLoadBackoff)
+	if p.order.Kind == engine.OrderLoad {
+		c.recordEnded(u, orderID)
 	}
 }
 
@@ -262,7 +275,7 @@
 // report settles it.
 func (c *Cell) Adopt(placement Placement) {
 	u := c.upstream(placement.Upstream)
-	u.pending[placement.Order.ID] = &pending{order: placement.Order, accepted: true}
+	u.pending[placement.Order.ID] = &pending{order: placement.Order, uncertain: true}
 }
 
 // Placements returns every load that may be in effect, sorted by order ID.
--- a/cells/decide.go
+++ b/cells/decide.go
@@ -30,8 +30,8 @@
 // ErrNotRecorded means the witness did not record the order; it was not sent.
 var ErrNotRecorded = errors.New("order not recorded")
 
-// provesNoEffect reports whether the error proves that the order took no effect.
-func provesNoEffect(err error) bool {
+// hadNoEffect reports whether the error proves that the send of an order had no effect.
+func hadNoEffect(err error) bool {
 	return errors.Is(err, engine.ErrStaleFence) || errors.Is(err, engine.ErrRefused) ||
 		errors.Is(err, engine.ErrUnreachable) || errors.Is(err, ErrNotRecorded)
 }
@@ -58,7 +58,8 @@
 	return r.commands
 }
 
-// resend sends unsettled orders again, under the same ID.
+// resend sends unsettled orders again, under the same ID, except refused ones, for
+// which it sends the engine a newer fencing token.
 func (r *round) resend() {
 	for _, id := range r.upstreamIDs() {
 		u := r.cell.upstreams[id]
@@ -67,6 +68,10 @@
 			if p.inFlight || r.now.Sub(p.sentAt) < resendInterval || u.listed.Address == "" || !u.fenced {
 				continue
 			}
+			if p.refused {
+				r.sendFence(id, u)
+				continue
+			}
 			p.order.Fence = max(p.order.Fence, r.cell.fence.ForOrder(r.cell.orderSeq))
 			r.send(id, p, p.order.Kind == engine.OrderLoad)
 		}
@@ -77,9 +82,15 @@
 func (r *round) sendFences() {
 	for _, id := range r.upstreamIDs() {
 		u := r.cell.upstreams[id]
-		if u.fenced || u.reportedAt.IsZero() || u.hasPending(engine.OrderFence) {
-			continue
+		if !u.fenced && !u.reportedAt.IsZero() {
+			r.sendFence(id, u)
 		}
+	}
+}
+
+// sendFence sends the engine a newer fencing token, unless one is on its way.
+func (r *round) sendFence(id cardamom.UpstreamID, u *upstream) {
+	if !u.hasPending(engine.OrderFence) {
 		r.order(id, engine.Order{Kind: engine.OrderFence})
 	}
 }
--- a/cells/safety_test.go
+++ b/cells/safety_test.go
@@ -221,6 +221,47 @@
 		Expect(w.network[0].command.Order.Kind).To(Equal(engine.OrderLoad))
 	})
 
+	It("keeps memory reserved for an order that may have been accepted, if a later send fails", func() {
+		for _, failure := range []error{engine.ErrStaleFence, engine.ErrRefused, engine.ErrUnreachable, cells.ErrNotRecorded} {
+			w, err := newWorld(true, 1)
+			Expect(err).NotTo(HaveOccurred())
+			runWithoutFaults(w, 3)
+			w.uses = []cells.Use{{Model: "b", Waiting: 1, NextArrival: w.now}}
+			w.decide(w.cell)
+			host := w.engines[0].listed.ID
+			order := w.network[0].command.Order
+			w.deliver(0, false, true)
+			w.now = w.now.Add(time.Second)
+			w.cell.Decide(w.now)
+			w.cell.ApplySendResult(host, order.ID, failure, w.now)
+			Expect(w.cell.ReservedMemory(host)).To(Equal(60), failure.Error())
+			Expect(w.cell.TakeEndedLoads()).To(BeEmpty(), failure.Error())
+			runWithoutFaults(w, 3)
+			Expect(w.cell.Count("b")).To(Equal(1), failure.Error())
+			Expect(w.violation()).To(BeEmpty())
+		}
+	})
+
+	It("frees the memory of an order that was lost and later refused, once a report shows a newer fencing token", func() {
+		single, err := newWorld(true, 1)
+		Expect(err).NotTo(HaveOccurred())
+		runWithoutFaults(single, 3)
+		single.uses = []cells.Use{{Model: "b", Waiting: 1, NextArrival: single.now}}
+		single.decide(single.cell)
+		host, order := single.engines[0].listed.ID, single.network[0].command.Order
+		single.dropOrder(0)
+		single.now = single.now.Add(time.Second)
+		single.cell.Decide(single.now)
+		single.cell.ApplySendResult(host, order.ID, engine.ErrRefused, single.now)
+		single.uses = nil
+		runWithoutFaults(single, 1)
+		Expect(single.cell.ReservedMemory(host)).To(Equal(60))
+		single.now = single.now.Add(time.Second)
+		runWithoutFaults(single, 1)
+		Expect(single.cell.ReservedMemory(host)).To(BeZero())
+		Expect(single.engines[0].loaded).To(BeEmpty())
+	})
+
 	It("sends a follower of an empty cell no second snapshot", func() {
 		Expect(w.cell.ChangesSince(0).Snapshot).To(BeTrue())
 		seen := w.cell.ChangesSince(0).Seq
