Take the lease at once if this instance held it before it started again

Cause: lease.Next lets a holder that started again take its own row at once, but Loop.mayTake, since, asks every instance to wait until the lease is free by FreeSince, which knows only expiry and release. So the rule of package lease had no effect.

Why this works: only weak instances have a reason to wait beyond what package lease decides. A strong one now takes what Next lets it take; the machine that wrote the row is the only one that may write it before it expires, and its new term has a higher token. Weak instances decide as before.

Evidence: the new entry of the coord spec fails before (1 of 75) and passes. The spec now asks both Next and mayTake, as stepLease does.

--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -123,15 +123,18 @@
 // weak reports whether this instance leaves the lease to others.
 func (l *Loop) weak() bool { return l.options.TakeoverDelay > 0 }
 
-// mayTake reports whether this instance may take a free lease now. A weak instance
-// waits from the time at which the lease became free, since stronger ones could not
+// mayTake reports whether this instance may take a lease now that is free for it. A weak
+// instance waits from the time at which the lease became free, since stronger ones could not
 // take it before either.
 func (l *Loop) mayTake(now time.Time) bool {
 	if l.lease.MayRegain(now) {
 		return true
 	}
+	if l.hasCoordinator(now) {
+		return false
+	}
 	delay := l.options.TakeoverDelay
-	return !l.hasCoordinator(now) && now.Sub(l.noCoordinatorSince) >= delay && now.Sub(l.lease.FreeSince()) >= delay
+	return !l.weak() || now.Sub(l.noCoordinatorSince) >= delay && now.Sub(l.lease.FreeSince()) >= delay
 }
 
 // isStandby reports whether this instance is a standby, by the hash of its name. Weak
