Let the successor of a released lease order sooner

Cause: the row of a released lease did not say when it was written, so the successor counted the duration from its own first read. And it waited also where engines check fencing tokens and refuse the earlier holder's orders themselves.

Why this works: the released row bears the store's clock like any other; the wait of a lease's duration, so that holders don't take turns, counts from the release. With fencing tokens checked there is no wait, as for a holder that could not renew.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -296,6 +296,13 @@
 		Entry("if it is weak, after its delay if nobody ever held it", cardamom.InstanceID("i-2"), 1500*time.Millisecond, lease.Row{}, 1500*time.Millisecond, true),
 	)
 
+	It("learns from the row when its coordinator released the lease", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		l.options.Clock = func(time.Time) (int64, uint64, bool) { return 98800, 0, true }
+		row := l.decodeLease(table.NewRow(leaseKey, l.encodeLease(l.releasedRow(start)), 9))
+		Expect(row).To(Equal(lease.Row{Version: 9, Holder: "i-1", Address: "i-1:2", Released: true, Renewed: 98800}))
+	})
+
 	// members returns weak members with the given names and one strong one.
 	members := func(names ...cardamom.InstanceID) []Member {
 		list := []Member{{ID: "strong"}}
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -228,17 +228,23 @@
 	l.leaseCallInFlight, l.lastLeaseCall = true, now
 	expect := l.lease.Version()
 	began := clock.Now()
-	storeMS, clockIncarnation, _ := l.options.Clock(began)
-	if clockIncarnation != l.lease.Incarnation() {
-		storeMS = 0
-	}
-	value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Renewed: storeMS})
+	value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Renewed: l.leaseClock(began)})
 	go func() {
 		version, err := l.options.Table.Commit(l.ctx, table.Put(leaseKey, expect, value))
 		l.post(func(now time.Time) { l.leaseWritten(version, err, began, now) })
 	}()
 }
 
+// leaseClock returns the store's clock at a time in milliseconds, 0 if it isn't known in
+// the incarnation of the store that the lease was read in.
+func (l *Loop) leaseClock(now time.Time) int64 {
+	storeMS, incarnation, _ := l.options.Clock(now)
+	if incarnation != l.lease.Incarnation() {
+		return 0
+	}
+	return storeMS
+}
+
 // leaseWritten handles the result of a write of the lease.
 func (l *Loop) leaseWritten(version uint64, err error, began, now time.Time) {
 	l.leaseCallInFlight = false
@@ -280,10 +286,15 @@
 	})
 }
 
+// releasedRow returns the row with which this instance gives the lease up.
+func (l *Loop) releasedRow(now time.Time) lease.Row {
+	return lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Released: true, Renewed: l.leaseClock(now)}
+}
+
 // Leave releases the lease, so that another instance can take it at once.
 func (l *Loop) Leave(ctx context.Context) error {
 	done := make(chan error, 1)
-	l.post(func(time.Time) {
+	l.post(func(now time.Time) {
 		l.leaving = true
 		l.lastExchange = time.Time{}
 		if l.term == nil {
@@ -293,7 +304,7 @@
 		expect := l.lease.Version()
 		l.endTerm("leaving")
 		l.lease.Invalidate()
-		value := l.encodeLease(lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Released: true})
+		value := l.encodeLease(l.releasedRow(now))
 		go func() {
 			_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
 			done <- err
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -127,12 +127,6 @@
 	if s.held && row.Version > s.row.Version {
 		s.held = false
 	}
-	if row.Incarnation == incarnation && row.Holder != s.own {
-		s.regainUntil = time.Time{}
-		if row.Released {
-			s.mayOrderFrom = now.Add(s.duration)
-		}
-	}
 	s.row, s.rowRenewed, s.rowKnown = row, now, true
 	switch {
 	case s.isRestored() && row.Version == 0:
@@ -143,6 +137,12 @@
 	case row.Renewed > 0 && storeTime > row.Renewed:
 		s.rowRenewed = now.Add(-time.Duration(storeTime-row.Renewed) * time.Millisecond)
 	}
+	if row.Incarnation == incarnation && row.Holder != s.own {
+		s.regainUntil = time.Time{}
+		if row.Released {
+			s.mayOrderFrom = s.rowRenewed.Add(s.duration)
+		}
+	}
 	return restored
 }
 
@@ -264,15 +264,15 @@
 // example without an answer from the store.
 func (s *State) RecordOutage(now time.Time) { s.lastOutage = now }
 
-// MayOrder reports whether the holder may send orders. The successor of a holder
-// that released the lease first waits for the duration of a lease, so that the
-// two do not take turns at sending orders.
+// MayOrder reports whether the holder may send orders. Where engines don't check fencing
+// tokens, the successor of a holder that released the lease sends none until a lease's
+// duration after the release, so that the two do not take turns at sending orders.
 //
 // fenced means that engines refuse orders with an older fencing token. Then a holder
 // whose last renewals failed may go on for outageGrace after the last failure: once
 // another instance has taken the lease, engines refuse this one's orders.
 func (s *State) MayOrder(now time.Time, fenced bool) bool {
-	if now.Before(s.mayOrderFrom) {
+	if !fenced && now.Before(s.mayOrderFrom) {
 		return false
 	}
 	if s.regained && !fenced && now.Before(s.regainUntil) {
