Look for a new coordinator at once when the old one says that it has left

What callers saw: after the coordinator had been stopped in order, requests for models that weren't loaded waited 1.2 s longer than needed, or were refused as model_unknown.

Cause: a member learns from the next exchange that the instance it follows doesn't coordinate any more, but it went on to count the coordinator as present until its last answer was 1.2 s old, and neither read nor took the lease until then.

Why this works: such an answer of the followed instance that names no successor now counts like its loss. If it names one, the member turns to that one as before.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -296,6 +296,18 @@
 		Entry("if it is weak, after its delay if nobody ever held it", cardamom.InstanceID("i-2"), 1500*time.Millisecond, lease.Row{}, 1500*time.Millisecond, true),
 	)
 
+	It("looks for another at once when its coordinator says that it has left", func() {
+		l := newLoop("i-2", site.OrderAccepted)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Full: true}, nil, start, start)
+		Expect(l.hasCoordinator(start.Add(100 * time.Millisecond))).To(BeTrue())
+		l.handleExchangeReply("i-3:2", &syncpb.ExchangeReply{}, nil, start, start.Add(100*time.Millisecond))
+		Expect(l.hasCoordinator(start.Add(100 * time.Millisecond))).To(BeTrue())
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Full: true}, nil, start, start)
+		l.handleExchangeReply("i-1:2", &syncpb.ExchangeReply{}, nil, start, start.Add(100*time.Millisecond))
+		Expect(l.hasCoordinator(start.Add(100 * time.Millisecond))).To(BeFalse())
+		Expect(l.noCoordinatorSince).To(Equal(start.Add(100 * time.Millisecond)))
+	})
+
 	It("learns from the row when its coordinator released the lease", func() {
 		l := newLoop("i-1", site.OrderAccepted)
 		l.options.Clock = func(time.Time) (int64, uint64, bool) { return 98800, 0, true }
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -174,11 +174,15 @@
 		return
 	}
 	if !reply.GetCoordinates() {
+		followed := l.position.coordinator == address
 		l.position = position{}
 		l.lastLeaseCall = time.Time{}
 		if next := reply.GetCoordinator(); next != "" && next != address && next != l.options.SyncAddress {
 			l.position.coordinator = next
 			l.lastExchange = time.Time{}
+		} else if followed {
+			// It has just left, or lost the lease.
+			l.lastAnswered, l.noCoordinatorSince = time.Time{}, now
 		}
 		return
 	}
