Begin with three concurrent loads from the store, not one

Cause: how many loads the store serves at full speed isn't published, so a planner began with one at a time and tried one more after each that ended at full speed.

Why this works: loads beyond what the store serves at full speed share its speed, so a guess that is too high delays the first loads and loses no throughput; one that is too low loses it. After the first load its duration shows the limit, as before, and the coordinator's row keeps it.

--- a/plan/store.go
+++ b/plan/store.go
@@ -12,8 +12,9 @@
 	// storeRatePercent is the percentage of the store's rate limit that is used.
 	storeRatePercent = 90
 	// initialConcurrency is how many loads from the store run concurrently until
-	// their durations show how many can run at full speed.
-	initialConcurrency = 1
+	// their durations show how many can run at full speed. One would waste the store
+	// for as long as the first load takes; too many only share its speed.
+	initialConcurrency = 3
 	// maxConcurrency is the maximum number of concurrent loads from the store.
 	maxConcurrency = 8
 	// inheritedLoads is how many loads an earlier coordinator may have started within
