Send an unanswered order again after 200 ms, and trust no refusal of the second

Cause: an unanswered order was sent again only after 700 ms, and until then its engine got nothing else. If the engine had accepted the first, it refused the second; the plan took that for "not accepted", forgot the order, and paused the engine for another 500 ms before a report showed the truth.

Why this works: an engine answers within milliseconds, so 200 ms of silence say enough. Both sendings expect the same number of orders before them, so the engine carries out one at most, whenever they arrive. A refusal of an order that was sent twice proves nothing, so a report is asked for at once and decides; and what was accepted stays so whatever the other sending's answer says.

--- a/plan/orders.go
+++ b/plan/orders.go
@@ -87,17 +87,24 @@
 		}
 		pl.markChanged(e)
 	case site.OrderUnknown:
-		p.expectedEnd = now.Add(resendAfter)
+		if p.unanswered {
+			p.expectedEnd = now
+		}
 	case site.OrderFenced:
 		// The engine got an order of a newer coordinator, so its refusal says nothing
 		// about its state.
 		e.pausedUntil = now.Add(refusalPause)
 	default:
-		if p.precedingUnload != nil {
+		switch {
+		case !p.unanswered:
+			// The engine accepted the order when it was sent the other time.
+		case p.resent:
+			p.expectedEnd = now
+		case p.precedingUnload != nil:
 			pl.resumeUnload(e, p, now)
-			return
+		default:
+			pl.discardOrder(e, now)
 		}
-		pl.discardOrder(e, now)
 	}
 }
 
@@ -166,7 +173,7 @@
 	var resends []PlannedOrder
 	for _, e := range pl.sorted() {
 		if p := e.pending; p != nil && p.unanswered && now.Sub(p.lastSent) >= resendAfter && !now.Before(e.pausedUntil) {
-			p.lastSent = now
+			p.lastSent, p.resent = now, true
 			e.pausedUntil = now.Add(refusalPause)
 			resends = append(resends, PlannedOrder{Upstream: e.Upstream.Upstream, Order: p.order, Reason: "unanswered"})
 		}
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -44,9 +44,10 @@
 	// they are counted, so that models without any demand have a small rate.
 	priorArrivals = 0.5
 	priorTime     = 10 * time.Second
-	// resendAfter is how long after it was sent an unanswered order is sent again.
-	// Until then the engine may still carry it out.
-	resendAfter = 700 * time.Millisecond
+	// resendAfter is how long after it was sent an unanswered order is sent again. An
+	// engine answers within milliseconds, and carries out only one of the two, as both
+	// expect the same number of orders before them.
+	resendAfter = 200 * time.Millisecond
 	// orderLostAfter is how long after its expected end an order counts as lost.
 	orderLostAfter = 6 * time.Second
 	// adapterLoadTime is the usual time to load an adapter.
@@ -71,7 +72,10 @@
 	expectedEnd     time.Time
 	reportRequested time.Time
 	unanswered      bool
-	storeLoad       bool
+	// resent means that the order was sent more than once, so that the refusal of one
+	// of them doesn't show that the engine carried out none.
+	resent    bool
+	storeLoad bool
 	// overlap is the number of loads from the store that ran at each moment of this
 	// load, itself included, integrated over time in seconds up to overlapUntil.
 	overlap      float64
