Soak a restore of the store while all instances start

Two faults, injected if named: all_killed, and all_killed_store_restored, where the instances start again while the store returns from a copy of before. They are not among those drawn by default, so that the seeds of earlier soaks draw what they drew.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -103,7 +103,7 @@
 	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the first soak")
 	command.Flags().IntVar(&seeds, "seeds", 1, "number of soaks, run one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "number of instances")
-	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name as in the result; all if empty")
+	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name; if empty, all but all_killed and all_killed_store_restored")
 	command.Flags().BoolVar(&unfenced, "unfenced", false, "engines accept orders with an older fencing token")
 	command.Flags().DurationVar(&span, "span", 8*time.Second, "time during which faults start")
 	return command
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,7 +21,14 @@
 	begin func(s *soak, random *rand.Rand, span time.Duration) (undo func())
 }
 
-// soakFaults are all faults of a soak.
+// namedFaults are injected only if their names are given: with them, the seeds of
+// earlier soaks would draw other faults.
+var namedFaults = []soakFault{
+	{"all_killed", func(s *soak, _ *rand.Rand, _ time.Duration) func() { return s.killAll() }},
+	{"all_killed_store_restored", killAllAndRestore},
+}
+
+// soakFaults are the faults of a soak unless names are given.
 var soakFaults = []soakFault{
 	{"store_down", storeFault(host.Down)},
 	{"store_reset", storeFault(host.Reset)},
@@ -43,18 +51,19 @@
 	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) func() { s.publishConfig(); return nil }},
 }
 
-// chooseFaults returns the faults with the names, all if there are none.
+// chooseFaults returns the faults with the names, soakFaults if there are none.
 func chooseFaults(names []string) ([]soakFault, error) {
 	if len(names) == 0 {
 		return soakFaults, nil
 	}
+	all := slices.Concat(soakFaults, namedFaults)
 	var chosen []soakFault
 	for _, name := range names {
-		at := slices.IndexFunc(soakFaults, func(fault soakFault) bool { return fault.name == name })
+		at := slices.IndexFunc(all, func(fault soakFault) bool { return fault.name == name })
 		if at < 0 {
 			return nil, eris.Errorf("no fault is named %q", name)
 		}
-		chosen = append(chosen, soakFaults[at])
+		chosen = append(chosen, all[at])
 	}
 	return chosen, nil
 }
@@ -168,14 +177,51 @@
 	if instance == nil || instance.Signal(signal) != nil {
 		return nil
 	}
+	return func() { s.restart(instance) }
+}
+
+// restart starts a stopped instance again once it has ended.
+func (s *soak) restart(instance *host.Instance) {
+	<-instance.Done()
+	if err := instance.Start(); err != nil {
+		s.addViolation(fmt.Sprintf("start %s: %v", instance.Name(), err))
+	}
+	s.mu.Lock()
+	delete(s.affected, instance)
+	s.mu.Unlock()
+}
+
+// killAll kills all instances that no other fault affects; the returned function starts
+// them again at the same time.
+func (s *soak) killAll() func() {
+	s.mu.Lock()
+	var killed []*host.Instance
+	for _, instance := range s.site.Instances {
+		if !s.affected[instance] && instance.Signal(syscall.SIGKILL) == nil {
+			s.affected[instance] = true
+			killed = append(killed, instance)
+		}
+	}
+	s.mu.Unlock()
 	return func() {
-		<-instance.Done()
-		if err := instance.Start(); err != nil {
-			s.addViolation(fmt.Sprintf("start %s: %v", instance.Name(), err))
+		var all sync.WaitGroup
+		for _, instance := range killed {
+			all.Go(func() { s.restart(instance) })
 		}
-		s.mu.Lock()
-		delete(s.affected, instance)
-		s.mu.Unlock()
+		all.Wait()
+	}
+}
+
+// killAllAndRestore kills all instances; while they start again, the store returns from
+// a copy of the time at which they were killed or before.
+func killAllAndRestore(s *soak, random *rand.Rand, span time.Duration) func() {
+	restore := restoreStore(s, random, span)
+	start := s.killAll()
+	return func() {
+		var started sync.WaitGroup
+		started.Go(start)
+		restore()
+		started.Wait()
 	}
 }
 
