Give each test process ports that no other one chooses

Cause: a port is chosen before its process listens on it and is free again while the process restarts. Package fleet drew from 20,000 ports at random, and package host took a range by its process ID, out of the same ports; nothing kept two test processes apart.

The old failure was not reproduced.

--- a/cmd/cardd/dev.go
+++ b/cmd/cardd/dev.go
@@ -16,7 +16,7 @@
 	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/fakes"
 	"cardamomcourse.example/cardamom/fakes/caller"
-	"cardamomcourse.example/cardamom/fakes/fleet"
+	"cardamomcourse.example/cardamom/fakes/ports"
 	"cardamomcourse.example/cardamom/logs"
 	"cardamomcourse.example/cardamom/node"
 	"cardamomcourse.example/cardamom/policy"
@@ -153,11 +153,11 @@
 }
 
 func devSettings(n int, platform *fakes.Platform) (*conf.Settings, error) {
-	callerAddress, err := fleet.FreePort()
+	callerAddress, err := ports.Free()
 	if err != nil {
 		return nil, err
 	}
-	peerAddress, err := fleet.FreePort()
+	peerAddress, err := ports.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomcourse.example/cardamom/fakes"
+	"cardamomcourse.example/cardamom/fakes/ports"
 	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/roster"
 	"cardamomcourse.example/cardamom/table"
@@ -143,7 +144,7 @@
 // has not chosen before.
 func (f *Fleet) freeAddress() (string, error) {
 	for {
-		address, err := FreePort()
+		address, err := ports.Free()
 		if err != nil {
 			return "", err
 		}
--- a/fakes/fleet/process.go
+++ b/fakes/fleet/process.go
@@ -3,12 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -91,24 +88,3 @@
 	_ = p.signal(syscall.SIGKILL)
 	<-p.done
 }
-
-// The ports that processes listen on are below the kernel's ephemeral port range.
-// Otherwise the kernel could give a port to an outgoing connection after the port
-// was chosen and before the process listens on it.
-const (
-	firstPort    = 10000
-	lastPort     = 30000
-	portAttempts = 100
-)
-
-// FreePort returns a loopback address that nothing listens on.
-func FreePort() (string, error) {
-	for range portAttempts {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, listener.Close()
-		}
-	}
-	return "", eris.New("no free port found")
-}
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -13,11 +12,12 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/fakes/ports"
 )
 
 const (
@@ -111,40 +111,12 @@
 	return s, nil
 }
 
-// Instances listen on ports below the kernel's ephemeral port range. Otherwise the
-// kernel could give a port to an outgoing connection after the port was chosen and
-// before the instance listens on it. Several test processes may run sites at once,
-// so each uses one of portRanges ranges of portsPerProcess ports, chosen by its
-// process ID.
-const (
-	firstPort       = 10000
-	portsPerProcess = 1000
-	portRanges      = 20
-	portAttempts    = 200
-)
-
-// portsTried counts the ports that this process has tried to listen on.
-var portsTried atomic.Int64
-
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	first := firstPort + os.Getpid()%portRanges*portsPerProcess
-	for range portAttempts {
-		port := first + int(portsTried.Add(1))%portsPerProcess
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if listener, err := net.Listen("tcp", address); err == nil {
-			return address, listener.Close()
-		}
-	}
-	return "", eris.New("no free port found")
-}
-
 // newInstance writes the settings file of an instance and returns the instance
 // without starting it.
 func (s *Site) newInstance(name, program, store string, fenced bool) (*Instance, error) {
 	addresses := make([]string, 5)
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := ports.Free()
 		if err != nil {
 			return nil, err
 		}
