Log and count each repeated send with what the retry budget decided it by

A repeated send left no line and no counter, so that what was seen of the budget could not be explained: a share spent anew by each start, members that disagree, or sends that nobody asks the budget for. sent_again has the credit and the members assumed, retry_budget_spent marks the first refusal, retries_total counts both. No decision changes.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -100,13 +101,27 @@
 	}
 	defer release()
 	now := time.Now()
-	if x.sends > 0 && !x.server.Budget.AllowRetry(x.service, len(x.server.Views.View().Members()), now) {
+	if x.sends > 0 && !x.allowRetry(upstream, now) {
 		x.giveUp("retry_budget")
 		return false
 	}
 	return x.send(upstream, now)
 }
 
+// allowRetry reports whether the retry budget allows to send the request again.
+func (x *exchange) allowRetry(upstream *site.Upstream, now time.Time) bool {
+	decision := x.server.Budget.AllowRetry(x.service, len(x.server.Views.View().Members()), now)
+	x.server.Metrics.CountRetry(string(x.service), decision.Allowed)
+	switch {
+	case decision.Allowed:
+		x.log.Info("sent_again", "request", x.info.ID, "upstream", upstream.ID, "service", x.service, "sends", x.sends, "runs", x.runs, "rejected", x.rejected,
+			"credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
+	case decision.Changed:
+		x.log.Info("retry_budget_spent", "service", x.service, "credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
+	}
+	return decision.Allowed
+}
+
 // endIfOver ends a request whose deadline has come or whose caller has
 // disconnected, or that has not run when the instance closes. It reports whether
 // it did.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,8 @@
 	// CountResponse counts a finished request by the framing of the upstream's last
 	// response. cut means that the response ended inside an event.
 	CountResponse(kind, framing string, cut bool)
+	// CountRetry counts a retry by service and by whether the budget allowed it.
+	CountRetry(service string, allowed bool)
 	// CountLate counts a response that missed its route's targets.
 	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -5,7 +5,7 @@
 //
 //	budget := retry.New(retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 56})
 //	budget.CountRequest(service, now)
-//	if budget.AllowRetry(service, members, now) { /* send again */ }
+//	if budget.AllowRetry(service, members, now).Allowed { /* send again */ }
 package retry
 
 import (
@@ -55,6 +55,17 @@
 	return &Budget{limits: limits, services: make(map[cardamom.ServiceID]*ring)}
 }
 
+// Decision is the budget's answer to a retry.
+type Decision struct {
+	Allowed bool
+	// Changed means that the last retry of the service got the other answer.
+	Changed bool
+	// Credit is how many retries the service had left before this one.
+	Credit float64
+	// Members is the number of instances that share the budget, as assumed.
+	Members int
+}
+
 // ring counts requests and retries in buckets. It has one bucket more than the
 // window, which also covers the part of the oldest bucket inside the window.
 type ring struct {
@@ -62,6 +73,8 @@
 	retries  [buckets + 1]int
 	// bucket is the number of the current bucket since the epoch.
 	bucket int64
+	// refusing means that the last retry was refused.
+	refusing bool
 }
 
 // ring returns the service's counters, with the expired buckets cleared.
@@ -98,9 +111,9 @@
 	return b.peakMembers
 }
 
-// AllowRetry reports whether a retry is within this instance's share of the
+// AllowRetry decides whether a retry is within this instance's share of the
 // budget, and counts it if so.
-func (b *Budget) AllowRetry(service cardamom.ServiceID, members int, now time.Time) bool {
+func (b *Budget) AllowRetry(service cardamom.ServiceID, members int, now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.ring(service, now)
@@ -109,10 +122,14 @@
 		requests += r.requests[i]
 		retries += r.retries[i]
 	}
-	share := b.limits.Slack * slackShare / float64(max(b.members(members, now), minMembers))
-	if float64(retries+1) > share+b.limits.Ratio*ratioShare*float64(requests) {
-		return false
+	sharing := max(b.members(members, now), minMembers)
+	share := b.limits.Slack * slackShare / float64(sharing)
+	credit := share + b.limits.Ratio*ratioShare*float64(requests) - float64(retries)
+	decision := Decision{Allowed: credit >= 1, Credit: credit, Members: sharing}
+	decision.Changed = r.refusing == decision.Allowed
+	r.refusing = !decision.Allowed
+	if decision.Allowed {
+		r.retries[r.bucket%(buckets+1)]++
 	}
-	r.retries[r.bucket%(buckets+1)]++
-	return true
+	return decision
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -35,7 +35,7 @@
 			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 				budget.CountRequest("s", now)
 				requests = append(requests, now)
-			} else if budget.AllowRetry("s", instances, now) {
+			} else if budget.AllowRetry("s", instances, now).Allowed {
 				retries = append(retries, now)
 			}
 		}
@@ -62,10 +62,10 @@
 	It("allows retries again once the window has passed", func() {
 		budget := retry.New(limits)
 		now := time.Unix(1000, 0)
-		for budget.AllowRetry("s", 8, now) {
+		for budget.AllowRetry("s", 8, now).Allowed {
 		}
-		Expect(budget.AllowRetry("s", 8, now.Add(time.Second))).To(BeFalse())
-		Expect(budget.AllowRetry("s", 8, now.Add(2*limits.Window))).To(BeTrue())
+		Expect(budget.AllowRetry("s", 8, now.Add(time.Second)).Allowed).To(BeFalse())
+		Expect(budget.AllowRetry("s", 8, now.Add(2*limits.Window)).Allowed).To(BeTrue())
 	})
 
 	It("allows fewer retries before members are known and while a new coordinator discovers them", func() {
@@ -75,7 +75,7 @@
 			count := 0
 			for _, n := range members {
 				now = now.Add(100 * time.Millisecond)
-				for budget.AllowRetry("s", n, now) {
+				for budget.AllowRetry("s", n, now).Allowed {
 					count++
 				}
 			}
@@ -89,8 +89,8 @@
 	It("counts each service separately", func() {
 		budget := retry.New(limits)
 		now := time.Unix(1000, 0)
-		for budget.AllowRetry("s", 8, now) {
+		for budget.AllowRetry("s", 8, now).Allowed {
 		}
-		Expect(budget.AllowRetry("other", 8, now)).To(BeTrue())
+		Expect(budget.AllowRetry("other", 8, now).Allowed).To(BeTrue())
 	})
 })
