Let requests and time earn credit for retries that expires, instead of counting retries

Cause: each process kept its own count of the last window and assumed that nothing had been used before it, that its callers had been its own all the while and that all know the same number of members.

A process now begins with nothing. A request earns half the ratio and time a share of the slack; both expire after a window and are spent once. What is sent in a window was earned in it or the one before, whoever got the requests. The slack is earned only under a list of members that the coordinator confirmed within a window, and divided by the greatest number listed in one, so that the share of an instance that is cut off is free before others use it. It comes in whole sends, as one of 64 instances earns less within a window.

The specs on a window that has passed and on members found late ask the same of credit.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -88,7 +88,7 @@
 		// The coordinator's own demand is handled like that of the other members.
 		reply := l.exchange(request, now)
 		l.applyPeerStats(reply)
-		l.lastAnswered = now
+		l.lastAnswered, l.state.membersConfirmed = now, now
 		return
 	}
 	address := l.coordinator(now)
@@ -192,7 +192,7 @@
 	if l.position.coordinator != address || l.position.term != reply.GetTenure() {
 		l.logger.Info("dependency_back", "dependency", "coordinator", "address", address, "fence", reply.GetTenure())
 	}
-	l.lastAnswered = began
+	l.lastAnswered, l.state.membersConfirmed = began, began
 	l.position.coordinator = address
 	l.applyExchangeReply(reply, began)
 }
--- a/coord/view.go
+++ b/coord/view.go
@@ -53,6 +53,7 @@
 	upstreams          map[cardamom.UpstreamID]*site.Upstream
 	peerStats          map[cardamom.UpstreamID]UpstreamStats
 	members            []Member
+	membersConfirmed   time.Time
 	upstreamsConfirmed time.Time
 	// coordinates means that this instance coordinated when the view was made.
 	coordinates bool
@@ -94,6 +95,10 @@
 // Members returns the instances that exchanged recently.
 func (v *View) Members() []Member { return v.members }
 
+// MembersConfirmed returns when the coordinator last confirmed the members, on the
+// clock of package clock.
+func (v *View) MembersConfirmed() time.Time { return v.membersConfirmed }
+
 // UpstreamsConfirmed returns when the upstreams were last confirmed by the platform.
 func (v *View) UpstreamsConfirmed() time.Time { return v.upstreamsConfirmed }
 
@@ -127,6 +132,8 @@
 	// coordinators measured it.
 	storeConcurrency map[cardamom.ServiceID]plan.StoreConcurrency
 	members          []Member
+	// membersConfirmed is when the coordinator last confirmed the members.
+	membersConfirmed time.Time
 	// upstreamsConfirmed is when the platform last confirmed the upstreams.
 	upstreamsConfirmed time.Time
 	// catalogConfirmed is when the platform last confirmed the catalog.
@@ -170,7 +177,7 @@
 	v := &View{
 		catalog: s.catalog, services: make(map[cardamom.ServiceID][]*site.Upstream),
 		upstreams: make(map[cardamom.UpstreamID]*site.Upstream, len(s.upstreams)),
-		peerStats: s.peerStats, members: s.members, upstreamsConfirmed: s.upstreamsConfirmed, restores: s.restored.count,
+		peerStats: s.peerStats, members: s.members, membersConfirmed: s.membersConfirmed, upstreamsConfirmed: s.upstreamsConfirmed, restores: s.restored.count,
 	}
 	for id, upstream := range s.upstreams {
 		v.upstreams[id] = upstream
--- a/front/provide.go
+++ b/front/provide.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"math/rand/v2"
+
 	"github.com/google/wire"
 	"github.com/hashicorp/go-hclog"
 
@@ -45,7 +47,9 @@
 	return conns.New(func() { metrics.Add("upstream_connections_total", 1) })
 }
 
-func provideBudget(settings *Settings) *retry.Budget { return retry.New(settings.retries) }
+func provideBudget(settings *Settings) *retry.Budget {
+	return retry.New(settings.retries, rand.Float64())
+}
 
 func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
@@ -101,7 +102,7 @@
 	}
 	defer release()
 	now := time.Now()
-	if x.sends > 0 && !x.allowRetry(upstream, now) {
+	if x.sends > 0 && !x.allowRetry(upstream) {
 		x.giveUp("retry_budget")
 		return false
 	}
@@ -109,8 +110,10 @@
 }
 
 // allowRetry reports whether the retry budget allows to send the request again.
-func (x *exchange) allowRetry(upstream *site.Upstream, now time.Time) bool {
-	decision := x.server.Budget.AllowRetry(x.service, len(x.server.Views.View().Members()), now)
+func (x *exchange) allowRetry(upstream *site.Upstream) bool {
+	now := clock.Now()
+	x.server.shareBudget(now)
+	decision := x.server.Budget.AllowRetry(x.service, now)
 	x.server.Metrics.CountRetry(string(x.service), decision.Allowed)
 	switch {
 	case decision.Allowed:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/await"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
@@ -250,7 +251,9 @@
 	if x.info.Model != "" {
 		s.Demand.Arrived(x.key, x.info.PromptTokens)
 	}
-	s.Budget.CountRequest(x.service, x.arrived)
+	now := clock.Now()
+	s.shareBudget(now)
+	s.Budget.CountRequest(x.service, now)
 	x.fingerprint = x.computeFingerprint()
 	if s.Ledger.Verdict(x.fingerprint, x.arrived) == poison.Refused {
 		x.refuse("crashes_upstreams", 0)
@@ -263,6 +266,12 @@
 	}
 }
 
+// shareBudget tells the retry budget how many instances share it.
+func (s *Server) shareBudget(now time.Time) {
+	view := s.Views.View()
+	s.Budget.SetMembers(len(view.Members()), view.MembersConfirmed(), now)
+}
+
 // computeFingerprint returns a hash of what stays the same when a caller sends
 // a request again.
 func (x *exchange) computeFingerprint() poison.Fingerprint {
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -19,29 +19,35 @@
 var limits = retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}
 
 // TestWindows checks that several instances together stay within the limits in
-// every window of a random history.
+// every window of a random history, in which they also start again.
 func TestWindows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		instances := rapid.IntRange(1, 12).Draw(t, "instances")
-		budgets := make([]*retry.Budget, instances)
-		for i := range budgets {
-			budgets[i] = retry.New(limits)
-		}
+		g := &group{members: instances}
 		now := time.Unix(1000, 0)
-		var requests, retries []time.Time
+		for i := range instances {
+			g.processes = append(g.processes, &process{budget: retry.New(limits, float64(i)/float64(instances)), started: now})
+		}
 		for range rapid.IntRange(1, 600).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
-			budget := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
-			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+			number := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			budget := g.processes[number].budget
+			budget.SetMembers(instances, now, now)
+			switch rapid.IntRange(0, 30).Draw(t, "kind") {
+			case 0:
+				g.processes[number] = &process{budget: retry.New(limits, rapid.Float64Range(0, 0.999).Draw(t, "phase")), started: now}
+			case 1, 2, 3, 4, 5, 6, 7, 8, 9, 10:
 				budget.CountRequest("s", now)
-				requests = append(requests, now)
-			} else if budget.AllowRetry("s", instances, now).Allowed {
-				retries = append(retries, now)
+				g.requests = append(g.requests, now)
+			default:
+				if budget.AllowRetry("s", now).Allowed {
+					g.retries = append(g.retries, now)
+				}
 			}
 		}
-		for _, end := range retries {
-			if spent, allowed := within(retries, end, limits.Window), limits.Ratio*float64(within(requests, end, limits.Window))+limits.Slack; float64(spent) > allowed {
-				t.Fatalf("%d retries in the window before %v, %.1f allowed", spent, end, allowed)
+		for _, start := range g.retries {
+			if sent, allowed := within(g.retries, start.Add(limits.Window-1), limits.Window), g.allowed(start); float64(sent) > allowed {
+				t.Fatalf("%d retries in the window from %v on, %.1f allowed", sent, start, allowed)
 			}
 		}
 	})
@@ -58,39 +64,78 @@
 	return count
 }
 
+// spendAll sends all the retries that the budget allows.
+func spendAll(budget *retry.Budget, now time.Time) int {
+	count := 0
+	for budget.AllowRetry("s", now).Allowed {
+		count++
+	}
+	return count
+}
+
 var _ = Describe("the budget", func() {
-	It("allows retries again once the window has passed", func() {
-		budget := retry.New(limits)
-		now := time.Unix(1000, 0)
-		for budget.AllowRetry("s", 8, now).Allowed {
+	const members = 8
+	began := time.Unix(1000, 0)
+
+	It("allows retries again once credit was earned, and none from before that", func() {
+		budget := retry.New(limits, 0)
+		earn := func(now time.Time) {
+			for range 50 {
+				budget.CountRequest("s", now)
+			}
 		}
-		Expect(budget.AllowRetry("s", 8, now.Add(time.Second)).Allowed).To(BeFalse())
-		Expect(budget.AllowRetry("s", 8, now.Add(2*limits.Window)).Allowed).To(BeTrue())
+		Expect(spendAll(budget, began)).To(BeZero())
+		earn(began)
+		Expect(spendAll(budget, began)).To(Equal(5))
+		Expect(budget.AllowRetry("s", began.Add(time.Second)).Allowed).To(BeFalse())
+		earn(began.Add(2 * time.Second))
+		Expect(spendAll(budget, began.Add(9*time.Second))).To(Equal(5))
+		earn(began.Add(10 * time.Second))
+		Expect(spendAll(budget, began.Add(20*time.Second+limits.Window/10))).To(BeZero())
 	})
 
-	It("allows fewer retries before members are known and while a new coordinator discovers them", func() {
+	It("earns less slack before members are known and while a new coordinator discovers them", func() {
 		spend := func(members ...int) int {
-			budget := retry.New(limits)
-			now := time.Unix(1000, 0)
-			count := 0
+			budget := retry.New(retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}, 0)
+			now := began
 			for _, n := range members {
-				now = now.Add(100 * time.Millisecond)
-				for budget.AllowRetry("s", n, now).Allowed {
-					count++
-				}
+				budget.SetMembers(n, now, now)
+				now = now.Add(2 * time.Second)
 			}
-			return count
+			return spendAll(budget, now)
 		}
-		Expect(spend(0)).To(BeZero())
-		Expect(spend(30, 1, 2)).To(Equal(spend(30)))
-		Expect(spend(8)).To(BeNumerically(">", spend(30)))
+		Expect(spend(0, 0, 0)).To(BeZero())
+		Expect(spend(30, 1, 2)).To(Equal(spend(30, 30, 30)))
+		Expect(spend(30, 1, 2)).To(BeNumerically(">", 0))
+		Expect(spend(8, 8, 8)).To(BeNumerically(">", spend(30, 30, 30)))
+	})
+
+	It("earns no slack while nobody confirms the members", func() {
+		budget := retry.New(limits, 0)
+		budget.SetMembers(members, began, began)
+		budget.SetMembers(members, began, began.Add(3*limits.Window))
+		Expect(spendAll(budget, began.Add(3*limits.Window))).To(BeZero())
+		budget.SetMembers(members, began.Add(3*limits.Window), began.Add(3*limits.Window))
+		Expect(spendAll(budget, began.Add(4*limits.Window))).To(BeNumerically(">", 0))
 	})
 
 	It("counts each service separately", func() {
-		budget := retry.New(limits)
-		now := time.Unix(1000, 0)
-		for budget.AllowRetry("s", 8, now).Allowed {
+		budget := retry.New(limits, 0)
+		budget.SetMembers(members, began, began)
+		now := began.Add(limits.Window)
+		Expect(spendAll(budget, now)).To(BeNumerically(">", 0))
+		Expect(budget.AllowRetry("other", now).Allowed).To(BeTrue())
+	})
+
+	It("tells when it begins and ceases to refuse", func() {
+		budget := retry.New(limits, 0)
+		for range 10 {
+			budget.CountRequest("s", began)
 		}
-		Expect(budget.AllowRetry("other", 8, now).Allowed).To(BeTrue())
+		Expect(budget.AllowRetry("s", began).Changed).To(BeFalse())
+		refused := budget.AllowRetry("s", began)
+		Expect(refused.Allowed).To(BeFalse())
+		Expect(refused.Changed).To(BeTrue())
+		Expect(budget.AllowRetry("s", began).Changed).To(BeFalse())
 	})
 })
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,56 @@
+package retry
+
+import "iter"
+
+// buckets is the number of buckets that a window is divided into.
+const buckets = 10
+
+// window holds a value for each bucket of the last window.
+type window struct {
+	values [buckets]float64
+	// bucket is the number of the current bucket since the epoch.
+	bucket int64
+}
+
+// advance makes a later bucket the current one and clears those that have expired.
+func (w *window) advance(bucket int64) {
+	for steps := 0; w.bucket < bucket && steps < buckets; steps++ {
+		w.bucket = max(w.bucket+1, bucket-buckets+1)
+		w.values[w.bucket%buckets] = 0
+	}
+}
+
+// add adds to the current bucket.
+func (w *window) add(value float64) { w.values[w.bucket%buckets] += value }
+
+// raise sets the current bucket to the value if that is greater.
+func (w *window) raise(value float64) {
+	w.values[w.bucket%buckets] = max(w.values[w.bucket%buckets], value)
+}
+
+func (w *window) sum() float64 {
+	sum := 0.0
+	for _, value := range w.values {
+		sum += value
+	}
+	return sum
+}
+
+func (w *window) max() float64 {
+	greatest := 0.0
+	for _, value := range w.values {
+		greatest = max(greatest, value)
+	}
+	return greatest
+}
+
+// oldestFirst returns the indices of the values in the order of their buckets.
+func (w *window) oldestFirst() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for age := int64(1); age <= buckets; age++ {
+			if !yield(int((w.bucket + age) % buckets)) {
+				return
+			}
+		}
+	}
+}
--- a/retry/windows_test.go
+++ b/retry/windows_test.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -42,6 +43,7 @@
 
 // group plays a script.
 type group struct {
+	random    *rand.Rand
 	processes []*process
 	rate      float64
 	first     int
@@ -86,12 +88,15 @@
 	}
 	sort.SliceStable(order, func(a, b int) bool { return g.processes[order[a]].started.Before(g.processes[order[b]].started) })
 	for _, i := range order[:step.StartAgain] {
-		g.processes[i] = &process{budget: retry.New(limits), started: now}
+		g.processes[i] = &process{budget: retry.New(limits, g.random.Float64()), started: now}
 	}
 }
 
 // play advances the group by one tick.
 func (g *group) play(tick time.Duration, now time.Time) {
+	for _, p := range g.processes[g.cut:] {
+		p.budget.SetMembers(g.members, now, now)
+	}
 	g.due += g.rate * tick.Seconds()
 	for ; g.due >= 1; g.due-- {
 		g.next++
@@ -102,7 +107,7 @@
 		return
 	}
 	for _, p := range g.processes[g.first:g.last] {
-		for p.budget.AllowRetry("s", g.members, now).Allowed {
+		for p.budget.AllowRetry("s", now).Allowed {
 			g.retries = append(g.retries, now)
 		}
 	}
@@ -127,9 +132,9 @@
 		It(script.Name, func() {
 			const tick = 20 * time.Millisecond
 			began := time.Unix(1000, 0)
-			g := &group{}
+			g := &group{random: rand.New(rand.NewPCG(1, 1))}
 			for range script.Instances {
-				g.processes = append(g.processes, &process{budget: retry.New(limits), started: began})
+				g.processes = append(g.processes, &process{budget: retry.New(limits, g.random.Float64()), started: began})
 			}
 			steps := script.Steps
 			for now := began; now.Sub(began).Seconds() < script.ForS; now = now.Add(tick) {
--- a/simul/caller.go
+++ b/simul/caller.go
@@ -78,6 +78,7 @@
 	c.current = x
 	i.open = append(i.open, x)
 	i.demand.Arrived(x.key(), c.prompt)
+	i.budget.SetMembers(len(i.play.instances), now, now)
 	i.budget.CountRequest(service, now)
 	c.watch(x, now)
 	x.decide(now)
--- a/simul/exchange.go
+++ b/simul/exchange.go
@@ -91,7 +91,7 @@
 	}, i.candidates(x, now))
 	switch choice.Action {
 	case pick.Send, pick.SendAgain:
-		if x.sends > 0 && !i.budget.AllowRetry(service, len(i.play.instances), now).Allowed {
+		if x.sends > 0 && !i.budget.AllowRetry(service, now).Allowed {
 			x.refuse("retry_budget", shortRetryAfter)
 			return
 		}
--- a/simul/instance.go
+++ b/simul/instance.go
@@ -60,7 +60,7 @@
 func (i *instance) start(now time.Time) {
 	i.starts++
 	i.down = false
-	i.demand, i.pace, i.health, i.budget = demand.New(), pace.New(), health.New(), retry.New(retryLimits)
+	i.demand, i.pace, i.health, i.budget = demand.New(), pace.New(), health.New(), retry.New(retryLimits, i.play.choices.Float64())
 	i.view, i.others, i.since = make(map[cardamom.UpstreamID]*site.Upstream), nil, 0
 	i.missing, i.open = make(map[missingKey]time.Time), nil
 	if !i.play.without["early"] {
