Record and log the rate limit that an upstream names in its answers

An upstream in need names how many requests a second it takes. Nothing in the product read that, and no log line or counter showed it, so that the hypotheses on why it got more could not be told apart. Each instance now keeps what the answers state, until an answer states nothing or the upstream starts again, and logs and counts each change. What is no limit (negative, not a number, infinite, two values, over a million) is ignored and logged once an upstream. The book is bounded and dropped with the listing. No decision changes.

The stand-in upstream can name a limit and counts all that arrives.

--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -64,6 +64,10 @@
 		return
 	}
 	u.mu.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	if len(u.rateLimit) > 0 {
+		w.Header()[rateLimitHeader] = u.rateLimit
+	}
 	behaviour := u.nextBehaviour()
 	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -108,6 +108,10 @@
 	next   []Behaviour
 	script *[]Behaviour
 	runs   []Run
+	// rateLimit are the values of the header that names a rate limit; empty for none.
+	rateLimit []string
+	// arrivals are when requests arrived, also those that were refused.
+	arrivals []time.Time
 	// resident has the loaded adapters of each model in memory.
 	resident map[string][]string
 	disk     map[string]bool
--- a/front/front.go
+++ b/front/front.go
@@ -32,6 +32,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/platform"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/sleep"
 	"cardamomcourse.example/cardamom/syncpb"
@@ -72,6 +73,7 @@
 	loop        *coord.Loop
 	pool        *conns.Pool
 	metrics     *metric.Tally
+	limits      *quota.Book
 	shutdown    *shutdownState
 	logger      hclog.Logger
 	servers     []*httpServer
@@ -112,8 +114,8 @@
 }
 
 // New returns an instance; Run starts it.
-func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
-	i := &Instance{settings: settings, loop: loop, pool: pool, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
+func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, limits *quota.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
+	i := &Instance{settings: settings, loop: loop, pool: pool, limits: limits, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
 	i.entryServer = &http.Server{Handler: entryHandler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: i.idleConns.track}
 	return i
 }
@@ -134,6 +136,7 @@
 	i.metrics.Gauge("upstreams_age_seconds", func() float64 { return clock.Now().Sub(i.loop.View().UpstreamsConfirmed()).Seconds() })
 	i.metrics.Gauge("store_restores", func() float64 { return float64(i.loop.View().Restores()) })
 	i.metrics.Gauge("members", func() float64 { return float64(len(i.loop.View().Members())) })
+	i.metrics.Gauge("upstreams_limited", func() float64 { return float64(i.limits.InForce()) })
 	i.metrics.Gauge("coordinates", func() float64 {
 		if i.loop.View().Coordinates() {
 			return 1
--- a/front/provide.go
+++ b/front/provide.go
@@ -15,6 +15,7 @@
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/retry"
 )
@@ -25,7 +26,7 @@
 // Set is the Wire provider set of an instance.
 var Set = wire.NewSet(
 	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget,
-	coord.New, demand.New, health.New, pace.New, poison.New, metric.New, newShutdownState, New,
+	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, metric.New, newShutdownState, New,
 )
 
 func provideStore(settings *Settings, logger hclog.Logger) *platform.Store {
@@ -51,9 +52,9 @@
 	return retry.New(settings.retries, rand.Float64())
 }
 
-func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
+func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, limits *quota.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
 		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Waiters: waiters, Pool: pool, Demand: counter,
-		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
+		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Limits: limits, Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
 	})
 }
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -13,6 +13,7 @@
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/quota"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -35,8 +36,9 @@
 	tracker := health.New()
 	paceTracker := pace.New()
 	budget := provideBudget(settings)
+	book := quota.NewBook()
 	frontShutdownState := newShutdownState()
-	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, tally, frontShutdownState, logger)
-	instance := New(settings, loop, pool, server, tally, frontShutdownState, logger)
+	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, book, tally, frontShutdownState, logger)
+	instance := New(settings, loop, pool, server, book, tally, frontShutdownState, logger)
 	return instance
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -65,6 +65,11 @@
 	t.Add(fmt.Sprintf("retries_total{service=%q,allowed=%q}", service, strconv.FormatBool(allowed)), 1)
 }
 
+// CountRateLimit counts a change of the rate limit of an upstream by its kind.
+func (t *Tally) CountRateLimit(change string) {
+	t.Add(fmt.Sprintf("rate_limit_changes_total{change=%q}", change), 1)
+}
+
 // CountLate counts a response that missed its targets by kind and cause.
 func (t *Tally) CountLate(kind, cause string) {
 	t.Add(fmt.Sprintf("late_total{kind=%q,cause=%q}", kind, cause), 1)
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,202 @@
+// Package quota holds the rate limits that upstreams in need name in their answers,
+// and divides each among the instances.
+//
+// A limit is in force from the first answer that names it until one that doesn't, or
+// until the upstream starts again. All instances share it: the coordinator permits
+// each request (Gate); while none answers, each instance sends a small share of its
+// own (Share).
+//
+// # Usage
+//
+//	book := quota.NewBook()
+//	change := book.State(upstream, response.RateLimit, now)
+//	if limit, ok := book.Limit(upstream); ok { /* ask for a permit */ }
+package quota
+
+import (
+	"sync"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/site"
+)
+
+const (
+	// endedRetention is how long it is kept that a limit has ended, so that all
+	// instances learn it from the coordinator.
+	endedRetention = 20 * time.Second
+	// maxUpstreams bounds the upstreams whose limits are kept.
+	maxUpstreams = 8192
+)
+
+// Limit is the rate limit of one run of an upstream.
+type Limit struct {
+	Upstream cardamom.UpstreamID
+	// StartedMs is the start time of the run in Unix milliseconds.
+	StartedMs int64
+	// Ended means that the upstream names no limit any more.
+	Ended     bool
+	PerSecond float64
+	// Stated is when the answer came that states this.
+	Stated time.Time
+}
+
+// ChangeKind is how a limit has changed.
+type ChangeKind uint8
+
+// The kinds of a change.
+const (
+	// Unchanged means that nothing new was stated.
+	Unchanged ChangeKind = iota
+	// Began means that an upstream without a limit names one.
+	Began
+	// Adjusted means that it names another limit than before.
+	Adjusted
+	// Ended means that it names no limit any more.
+	Ended
+	// Ignored means that it names, for the first time, something that is no limit.
+	Ignored
+)
+
+// String returns the kind's name in logs and metrics.
+func (k ChangeKind) String() string {
+	switch k {
+	case Began:
+		return "began"
+	case Adjusted:
+		return "adjusted"
+	case Ended:
+		return "ended"
+	case Ignored:
+		return "ignored"
+	default:
+		return "unchanged"
+	}
+}
+
+// Change is a change of the limit of an upstream.
+type Change struct {
+	Kind  ChangeKind
+	Limit Limit
+	// Before is the limit until now, 0 if there was none.
+	Before float64
+}
+
+// Book holds the limits that an instance knows. It is safe for concurrent use.
+type Book struct {
+	mu     sync.Mutex
+	limits map[cardamom.UpstreamID]Limit
+	// ignored has the upstreams whose invalid limit was reported as a change.
+	ignored map[cardamom.UpstreamID]bool
+}
+
+// NewBook returns a book without limits.
+func NewBook() *Book {
+	return &Book{limits: make(map[cardamom.UpstreamID]Limit), ignored: make(map[cardamom.UpstreamID]bool)}
+}
+
+// State records what an upstream's answer states.
+func (b *Book) State(upstream *site.Upstream, statement site.RateLimit, now time.Time) Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if statement.Invalid != "" {
+		if b.ignored[upstream.ID] || len(b.ignored) >= maxUpstreams {
+			return Change{}
+		}
+		b.ignored[upstream.ID] = true
+		return Change{Kind: Ignored, Limit: Limit{Upstream: upstream.ID, StartedMs: upstream.StartedMs}}
+	}
+	return b.record(Limit{Upstream: upstream.ID, StartedMs: upstream.StartedMs, Ended: !statement.Named, PerSecond: statement.PerSecond, Stated: now})
+}
+
+// Merge records what another instance knows, as far as it is newer.
+func (b *Book) Merge(limits []Limit) []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var changes []Change
+	for _, limit := range limits {
+		if change := b.record(limit); change.Kind != Unchanged {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// record records a limit unless the book has a newer statement or a later run.
+func (b *Book) record(limit Limit) Change {
+	known, ok := b.limits[limit.Upstream]
+	switch {
+	case ok && known.StartedMs > limit.StartedMs:
+		return Change{}
+	case ok && known.StartedMs == limit.StartedMs && !limit.Stated.After(known.Stated):
+		return Change{}
+	case !ok && (limit.Ended || len(b.limits) >= maxUpstreams):
+		return Change{}
+	}
+	b.limits[limit.Upstream] = limit
+	inForce := ok && known.StartedMs == limit.StartedMs && !known.Ended
+	change := Change{Limit: limit}
+	if inForce {
+		change.Before = known.PerSecond
+	}
+	switch {
+	case limit.Ended && inForce:
+		change.Kind = Ended
+	case !limit.Ended && !inForce:
+		change.Kind = Began
+	case !limit.Ended && known.PerSecond != limit.PerSecond:
+		change.Kind = Adjusted
+	default:
+		return Change{}
+	}
+	return change
+}
+
+// Limit returns the limit that is in force for the present run of an upstream.
+func (b *Book) Limit(upstream *site.Upstream) (Limit, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit, ok := b.limits[upstream.ID]
+	return limit, ok && !limit.Ended && limit.StartedMs == upstream.StartedMs
+}
+
+// Limits returns all limits, also those that ended a short time ago.
+func (b *Book) Limits() []Limit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits := make([]Limit, 0, len(b.limits))
+	for _, limit := range b.limits {
+		limits = append(limits, limit)
+	}
+	return limits
+}
+
+// InForce returns how many upstreams have a limit.
+func (b *Book) InForce() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, limit := range b.limits {
+		if !limit.Ended {
+			count++
+		}
+	}
+	return count
+}
+
+// Prune removes the limits of upstreams that are not listed any more and of those that
+// ended some time ago.
+func (b *Book) Prune(listed func(id cardamom.UpstreamID) bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, limit := range b.limits {
+		if !listed(id) || limit.Ended && now.Sub(limit.Stated) > endedRetention {
+			delete(b.limits, id)
+		}
+	}
+	for id := range b.ignored {
+		if !listed(id) {
+			delete(b.ignored, id)
+		}
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -187,6 +187,7 @@
 	defer response.Close()
 	s.Metrics.ObserveDuration("first_byte", time.Since(now))
 	reply := s.Dialect.ParseResponse(response.Status(), response.Header())
+	x.recordLimit(upstream, reply)
 	switch {
 	case reply.NotRun && reply.ID != "" && reply.ID != x.info.ID:
 		return x.handleBroken(upstream, conns.ErrInvalidResponse, now)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,7 @@
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -83,6 +84,8 @@
 	NotRun bool
 	// Misdirected means that the upstream does not serve what the request needs.
 	Misdirected bool
+	// RateLimit is what it states of the upstream's rate limit.
+	RateLimit site.RateLimit
 }
 
 // Dialect parses and writes the headers that callers and upstreams use.
@@ -106,6 +109,8 @@
 	CountResponse(kind, framing string, cut bool)
 	// CountRetry counts a retry by service and by whether the budget allowed it.
 	CountRetry(service string, allowed bool)
+	// CountRateLimit counts a change of the rate limit of an upstream.
+	CountRateLimit(change string)
 	// CountLate counts a response that missed its route's targets.
 	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
@@ -123,6 +128,7 @@
 	Pace       *pace.Tracker
 	Budget     *retry.Budget
 	Ledger     *poison.Ledger
+	Limits     *quota.Book
 	Metrics    Metrics
 	// Leaving reports whether responses should close their connection. Closing is
 	// cancelled when new and waiting requests are to be refused.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,7 @@
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
@@ -130,7 +131,7 @@
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: conns.New(nil), Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Metrics: metric.New(),
+		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Limits: quota.NewBook(), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
 	w.server = httptest.NewServer(server)
