Keep to the rate limits that upstreams name, for all instances together

What upstreams saw: an engine that named a limit of 1 request a second got 12 to 15 within 4 s; 11 are allowed.

Cause: nothing read the limit. An upstream's load was its requests in flight, so that one that answers quickly looks idle; and each instance decides by itself, so that a limit that all know would still have been spent by each. Evidence: no line of the logs changes at the moment at which the limit begins; the upstreams get as many requests after it as before.

The coordinator now permits each request to an upstream with a limit, from a token bucket that starts empty with its term; the most urgent request goes first, each fourth time the oldest. An instance that no coordinator answers sends a small share of its own. Limits are stated by every answer, spread by the exchanges, and end with an answer that names none or a new run. Another upstream is preferred; demand beyond the limit gets a replica elsewhere; what would wait longer than its caller is refused at once with the expected wait. Streams' resumptions, repeated sends and trials need a permit too. A permit can't be used twice or by two instances, so the sum stays at the limit and half a second's worth.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/framed"
 	"cardamomcourse.example/cardamom/revs"
@@ -87,7 +88,7 @@
 	if l.term != nil {
 		// The coordinator's own demand is handled like that of the other members.
 		reply := l.exchange(request, now)
-		l.applyPeerStats(reply)
+		l.applyPeerStats(reply, now)
 		l.lastAnswered, l.state.membersConfirmed = now, now
 		return
 	}
@@ -148,6 +149,7 @@
 		request.Catalog = l.state.catalog.Version()
 	}
 	request.NeedDocument = l.needDocument
+	request.Limits = encodeLimits(l.options.Limits.Limits(), clock.Now())
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
 			Service: string(key.Service), Model: string(key.Model), Arrivals: int32(m.Arrivals), Waiting: int32(m.Waiting), Running: int32(m.Running), Tokens: int64(m.Tokens),
@@ -260,7 +262,7 @@
 		l.state.members = members
 		l.viewChanged = true
 	}
-	l.applyPeerStats(reply)
+	l.applyPeerStats(reply, began)
 	if refreshed {
 		// While the coordinator's data was stale, this instance read the platform
 		// itself. What only this instance saw is in none of the coordinator's
@@ -270,8 +272,11 @@
 }
 
 // applyPeerStats replaces what other instances have in flight at upstreams, and
-// merges the suspects they reported.
-func (l *Loop) applyPeerStats(reply *syncpb.ExchangeReply) {
+// merges the suspects and rate limits they reported. The reply is to a call that began
+// at the given time.
+func (l *Loop) applyPeerStats(reply *syncpb.ExchangeReply, began time.Time) {
+	l.logLimits(l.options.Limits.Merge(decodeLimits(reply.GetLimits(), began)), "coordinator")
+	l.pruneLimits(began)
 	stats := make(map[cardamom.UpstreamID]UpstreamStats, len(reply.GetLoads()))
 	for _, load := range reply.GetLoads() {
 		stats[cardamom.UpstreamID(load.GetUpstream())] = UpstreamStats{int(load.GetRunning()), int(load.GetFailures())}
@@ -281,118 +286,3 @@
 	l.state.ledger.Merge(decodeSuspects(reply.GetSuspects(), wall), wall)
 	l.viewChanged = true
 }
-
-// Need is a model that requests wait for, with one of its adapters unless Adapter
-// is empty.
-type Need struct {
-	Service cardamom.ServiceID
-	Model   cardamom.ModelID
-	Adapter string
-	Waiting int
-	// Unreachable are the upstreams that have the model loaded but could not be
-	// reached.
-	Unreachable []cardamom.UpstreamID
-	// CallTimeout is how long the call may wait.
-	CallTimeout time.Duration
-	// RemainingTime is how long the requests can wait.
-	RemainingTime time.Duration
-}
-
-// AwaitResult is the answer to a need.
-type AwaitResult struct {
-	// Answered reports whether a coordinator answered.
-	Answered bool
-	// Ready reports whether an upstream is ready for the requests.
-	Ready bool
-	// Expected is the time until requests can be sent, negative if unknown.
-	Expected time.Duration
-}
-
-// Await sends a need to the coordinator and returns when an upstream is ready for
-// it or the call's time is up. If one is ready, the view lists it by then.
-func (l *Loop) Await(ctx context.Context, need Need) AwaitResult {
-	request := &syncpb.AwaitRequest{
-		Service: string(need.Service), Model: string(need.Model), Adapter: need.Adapter, Waiting: int32(need.Waiting),
-		HoldMs: need.CallTimeout.Milliseconds(), NeedMs: need.RemainingTime.Milliseconds(), Instance: string(l.options.ID),
-	}
-	for _, id := range need.Unreachable {
-		request.Doubts = append(request.Doubts, string(id))
-	}
-	type target struct {
-		own    bool
-		client syncpb.Sync
-	}
-	targets := make(chan target, 1)
-	l.post(func(now time.Time) {
-		if l.term != nil {
-			targets <- target{own: true}
-			return
-		}
-		// A coordinator whose platform data is stale still plans until another
-		// instance takes over.
-		if address := l.position.coordinator; address != "" && now.Sub(l.lastAnswered) < l.coordinatorTimeout() {
-			targets <- target{client: l.peers.dial(address)}
-			return
-		}
-		targets <- target{}
-	})
-	var to target
-	select {
-	case to = <-targets:
-	case <-ctx.Done():
-		return AwaitResult{Expected: -1}
-	}
-	var reply *syncpb.AwaitReply
-	var err error
-	switch {
-	case to.own:
-		reply, err = l.await(ctx, request)
-	case to.client != nil:
-		callCtx, cancel := context.WithTimeout(ctx, need.CallTimeout+exchangeTimeout)
-		defer cancel()
-		reply, err = to.client.Await(callCtx, request)
-	default:
-		return AwaitResult{Expected: -1}
-	}
-	if err != nil || !reply.GetCoordinates() {
-		return AwaitResult{Expected: -1}
-	}
-	result := AwaitResult{Answered: true, Ready: reply.GetReady(), Expected: time.Duration(reply.GetExpectedMs()) * time.Millisecond}
-	if reply.GetExpectedMs() < 0 {
-		result.Expected = -1
-	}
-	if len(reply.GetUpstreams()) > 0 && !to.own {
-		l.publishAwaitReply(ctx, reply)
-	}
-	return result
-}
-
-// publishAwaitReply applies an answer's upstreams and waits until the view has them.
-func (l *Loop) publishAwaitReply(ctx context.Context, reply *syncpb.AwaitReply) {
-	done := make(chan struct{})
-	l.post(func(now time.Time) {
-		l.applyAwaitReply(reply, now)
-		l.views.current.Store(l.state.view())
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// applyAwaitReply applies an answer's upstreams unless an exchange has returned newer
-// data: the upstreams may have been removed since, and a removal is sent only once.
-func (l *Loop) applyAwaitReply(reply *syncpb.AwaitReply, now time.Time) {
-	if reply.GetTenure() < l.position.term || reply.GetTenure() == l.position.term && reply.GetChange() < l.position.change {
-		l.logger.Debug("answer_outdated", "fence", reply.GetTenure(), "expected", l.position.change, "version", reply.GetChange())
-		return
-	}
-	upstreamsConfirmed := now.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
-	for _, wire := range reply.GetUpstreams() {
-		upstream := decodeUpstream(wire)
-		if believed, _ := l.state.restored.believe(upstream, now); believed && !l.state.removed(upstream, upstreamsConfirmed) {
-			l.setUpstream(upstream, "coordinator")
-		}
-	}
-}
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -12,6 +12,7 @@
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/table"
 )
@@ -70,6 +71,7 @@
 	Profiles  Profiles
 	Demand    *demand.Counter
 	Ledger    *poison.Ledger
+	Limits    *quota.Book
 	Logger    hclog.Logger
 }
 
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -76,6 +76,7 @@
 			if t := l.term; t != nil && t.number == number {
 				if p, ok := t.plans[service]; ok {
 					p.Report(upstream.ID, report, now)
+					t.recordLimit(upstream.ID, report.RateLimit, now)
 				}
 			}
 		})
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -59,6 +59,7 @@
 		return &syncpb.ExchangeReply{Coordinator: address}
 	}
 	t.recordReport(request, now)
+	l.logLimits(l.options.Limits.Merge(decodeLimits(request.GetLimits(), now)), "member")
 	reply := &syncpb.ExchangeReply{
 		Coordinates: true, Tenure: t.number, Change: t.change,
 		UpstreamsAgeMs: now.Sub(l.state.upstreamsConfirmed).Milliseconds(), CatalogAgeMs: now.Sub(l.state.catalogConfirmed).Milliseconds(),
@@ -101,6 +102,7 @@
 		reply.Loads = append(reply.Loads, &syncpb.Load{Upstream: string(id), Running: int32(others.Running), Failures: int32(others.Failures)})
 	}
 	reply.Suspects = encodeSuspects(l.state.ledger.Suspects(time.Now()))
+	reply.Limits = encodeLimits(l.options.Limits.Limits(), now)
 	return reply
 }
 
--- a/coord/term.go
+++ b/coord/term.go
@@ -9,6 +9,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
 )
@@ -50,7 +51,10 @@
 	memberList     []Member
 	sums           *demand.Sums
 	awaitCalls     map[*awaitCall]bool
-	ordersPaused   bool
+	// gate grants the permits that permitCalls wait for, by upstream.
+	gate         *quota.Gate
+	permitCalls  map[cardamom.UpstreamID][]*permitCall
+	ordersPaused bool
 	// lastStep is when the plans last decided on orders.
 	lastStep time.Time
 	// pending means that orders were sent in the last step or that Await calls
@@ -101,6 +105,7 @@
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
 		sums: demand.NewSums(), awaitCalls: make(map[*awaitCall]bool),
+		gate: quota.NewGate(), permitCalls: make(map[cardamom.UpstreamID][]*permitCall),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
@@ -109,12 +114,17 @@
 	}
 }
 
-// endTerm stops coordinating. Pending Await calls have to ask another instance.
+// endTerm stops coordinating. Pending Await and Permit calls have to ask another instance.
 func (l *Loop) endTerm(reason string) {
 	l.logger.Info("lease_ended", "fence", l.term.number, "reason", reason)
 	for a := range l.term.awaitCalls {
 		a.reply <- &syncpb.AwaitReply{ExpectedMs: -1}
 	}
+	for _, calls := range l.term.permitCalls {
+		for _, c := range calls {
+			c.reply <- &syncpb.PermitReply{}
+		}
+	}
 	l.term = nil
 	l.position = position{}
 }
@@ -229,7 +239,7 @@
 		t.publishPlan(p)
 	}
 	t.answerAwaitCalls(now)
-	return pending
+	return t.answerPermitCalls(now) || pending
 }
 
 // adopt moves upstreams into a plan once the catalog shows that their service
--- a/front/provide.go
+++ b/front/provide.go
@@ -33,12 +33,12 @@
 	return platform.NewStore(settings.store, logger.Named("store"))
 }
 
-func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, logger hclog.Logger) coord.Options {
+func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, limits *quota.Book, logger hclog.Logger) coord.Options {
 	return coord.Options{
 		ID: settings.instance, EntryAddress: settings.listen.Entry, SyncAddress: settings.listen.Sync, Seeds: settings.seeds,
 		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), Clock: store.Clock, Table: platform.NewTable(store, systemTable),
 		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: platform.NewEngineClient(),
-		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Logger: logger.Named("coord"),
+		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Limits: limits, Logger: logger.Named("coord"),
 	}
 }
 
@@ -55,6 +55,6 @@
 func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, limits *quota.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
 		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Waiters: waiters, Pool: pool, Demand: counter,
-		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Limits: limits, Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
+		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Limits: limits, Permits: loop, Alone: quota.NewShare(rand.Float64), Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
 	})
 }
--- a/logs/words.go
+++ b/logs/words.go
@@ -44,6 +44,7 @@
 	"orders_allowed":        "the coordinator may send orders from now on, or may no longer",
 	"panic":                 "a handler panicked",
 	"placement_unreadable":  "a placement could not be read",
+	"permit_refused":        "a request would wait too long for a permit for an upstream with a rate limit",
 	"profile_in_force":      "a revision of the profiles is in force",
 	"profile_invalid":       "a revision of the profiles is invalid",
 	"profile_unreadable":    "a revision of the profiles could not be read",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -65,6 +65,12 @@
 	t.Add(fmt.Sprintf("retries_total{service=%q,allowed=%q}", service, strconv.FormatBool(allowed)), 1)
 }
 
+// CountPermit counts the answer to a request for a permit: granted, refused, later, alone
+// (by this instance's own share) or unanswered.
+func (t *Tally) CountPermit(answer string) {
+	t.Add(fmt.Sprintf("permits_total{answer=%q}", answer), 1)
+}
+
 // CountRateLimit counts a change of the rate limit of an upstream by its kind.
 func (t *Tally) CountRateLimit(change string) {
 	t.Add(fmt.Sprintf("rate_limit_changes_total{change=%q}", change), 1)
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -60,7 +60,26 @@
 // It answers bursts of prompts for models with few replicas: a request that no upstream
 // would serve in time is not sent, and prompts that come together are spread over
 // engines and time as far as their target allows.
+//
+// Upstreams with a rate limit are used only if no other serves the request.
 func Choose(r Request, candidates []Candidate) Choice {
+	var free, limited []Candidate
+	for _, c := range candidates {
+		if c.RateLimited {
+			limited = append(limited, c)
+		} else {
+			free = append(free, c)
+		}
+	}
+	choice := choose(r, free)
+	if len(limited) == 0 || choice.Action == Send || choice.Action == SendAgain || choice.Action == Hold {
+		return choice
+	}
+	return choose(r, limited)
+}
+
+// choose decides among upstreams of which none is to be preferred.
+func choose(r Request, candidates []Candidate) Choice {
 	if len(candidates) == 0 {
 		return Choice{Action: Absent}
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -59,6 +59,9 @@
 	Expected time.Duration
 	// RecentTokens are the prompt tokens that this instance sent to it just now.
 	RecentTokens int
+	// RateLimited means that it names a rate limit, so that it may look idle though it
+	// takes no more.
+	RateLimited bool
 	// Avoided means that it failed or rejected the request before.
 	Avoided bool
 }
--- a/plan/eviction.go
+++ b/plan/eviction.go
@@ -49,7 +49,11 @@
 		if !fits && busy == 0 {
 			continue
 		}
-		if cost := wait.Seconds() + evictCost + utilizationCost*pl.utilization(e, model, now); cost < lowestCost {
+		cost := wait.Seconds() + evictCost + utilizationCost*pl.utilization(e, model, now)
+		if _, limited := pl.rateLimits[e.ID]; limited {
+			cost += limitedCost
+		}
+		if cost < lowestCost {
 			best, bestEvicted, lowestCost = e, evicted, cost
 		}
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -63,7 +63,9 @@
 	Busy    bool     `json:"busy"`
 	Held    []string `json:"held"`
 	Beat    int64    `json:"beat"`
-	Result  string   `json:"result"`
+	// PerSecond is the rate limit of the engine.
+	PerSecond float64 `json:"per_s"`
+	Result    string  `json:"result"`
 	// Moves are the expected orders, as "load MODEL[/ADAPTER] ENGINE".
 	Moves []string `json:"moves"`
 	// Number is the expected number of orders where any choice is right.
@@ -168,6 +170,7 @@
 		planner.SetStoreConcurrency(plan.StoreConcurrency{Loads: s.AtOnce, LimitReached: s.Bound})
 	}
 	sent := make(map[string]plan.PlannedOrder)
+	limits := make(map[cardamom.UpstreamID]float64)
 	for i, step := range s.Steps {
 		now := start.Add(time.Duration(step.At) * time.Millisecond)
 		id := cardamom.UpstreamID(step.Engine)
@@ -190,6 +193,9 @@
 			planner.Update(leaving, now)
 		case "answer":
 			planner.Answered(sent[step.Engine], results[step.Result], now)
+		case "limit":
+			limits[id] = step.PerSecond
+			planner.SetRateLimits(limits)
 		case "gone":
 			planner.Remove(id)
 		case "doubt":
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -150,6 +150,8 @@
 	demands map[cardamom.ModelID]*modelDemand
 	waits   map[modelKey]time.Time
 	store   storeState
+	// rateLimits are the rate limits of engines in requests a second.
+	rateLimits map[cardamom.UpstreamID]float64
 	// swaps counts the loads that requests waited for.
 	swaps modelDemand
 	// completed has the completed orders that TakeCompleted has not returned yet.
--- a/plan/replicas.go
+++ b/plan/replicas.go
@@ -70,7 +70,7 @@
 	}
 	count = max(count, int(math.Ceil(pl.tokenRate(model, now)/pl.profile.ReplicaTokens)))
 	count = max(count, int(math.Ceil(float64(d.running+d.waiting)/pl.profile.ReplicaRunning)))
-	return min(count, pl.profile.MaxReplicas)
+	return min(count+pl.limitedReplicas(model, now), pl.profile.MaxReplicas)
 }
 
 // secondReplicaRate returns the arrivals per second from which a model gets a
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,6 +25,9 @@
 	// endedRetention is how long it is kept that a limit has ended, so that all
 	// instances learn it from the coordinator.
 	endedRetention = 20 * time.Second
+	// freshTime is how long after it was stated a limit is believed without a trial: the
+	// upstream may have no need for it any more.
+	freshTime = 2 * time.Second
 	// maxUpstreams bounds the upstreams whose limits are kept.
 	maxUpstreams = 8192
 )
@@ -86,13 +89,15 @@
 type Book struct {
 	mu     sync.Mutex
 	limits map[cardamom.UpstreamID]Limit
+	// tried is when a request was last to be sent to an upstream for trial.
+	tried map[cardamom.UpstreamID]time.Time
 	// ignored has the upstreams whose invalid limit was reported as a change.
 	ignored map[cardamom.UpstreamID]bool
 }
 
 // NewBook returns a book without limits.
 func NewBook() *Book {
-	return &Book{limits: make(map[cardamom.UpstreamID]Limit), ignored: make(map[cardamom.UpstreamID]bool)}
+	return &Book{limits: make(map[cardamom.UpstreamID]Limit), tried: make(map[cardamom.UpstreamID]time.Time), ignored: make(map[cardamom.UpstreamID]bool)}
 }
 
 // State records what an upstream's answer states.
@@ -160,6 +165,25 @@
 	return limit, ok && !limit.Ended && limit.StartedMs == upstream.StartedMs
 }
 
+// IsFresh reports whether the upstream has a limit that was stated, or tried, a short
+// time ago. Others are preferred to it.
+func (b *Book) IsFresh(upstream *site.Upstream, now time.Time) bool {
+	limit, ok := b.Limit(upstream)
+	if !ok {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(limit.Stated) < freshTime || now.Sub(b.tried[upstream.ID]) < freshTime
+}
+
+// Try records that a request is to find out whether the upstream still has its limit.
+func (b *Book) Try(upstream *site.Upstream, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tried[upstream.ID] = now
+}
+
 // Limits returns all limits, also those that ended a short time ago.
 func (b *Book) Limits() []Limit {
 	b.mu.Lock()
@@ -192,6 +216,7 @@
 	for id, limit := range b.limits {
 		if !listed(id) || limit.Ended && now.Sub(limit.Stated) > endedRetention {
 			delete(b.limits, id)
+			delete(b.tried, id)
 		}
 	}
 	for id := range b.ignored {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -274,12 +274,15 @@
 }
 
 // giveUp ends a request that gets no further attempt.
-func (x *exchange) giveUp(reason string) {
+func (x *exchange) giveUp(reason string) { x.giveUpFor(reason, defaultRetryDelay) }
+
+// giveUpFor ends such a request with the time after which the caller may come back.
+func (x *exchange) giveUpFor(reason string, wait time.Duration) {
 	if x.runs > 0 {
 		x.fail(http.StatusBadGateway, reason)
 		return
 	}
-	x.refuse(reason, defaultRetryDelay)
+	x.refuse(reason, wait)
 }
 
 // recordDeath records the request's fingerprint with an upstream that died while
--- a/relay/find.go
+++ b/relay/find.go
@@ -9,6 +9,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/await"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/site"
@@ -112,6 +113,9 @@
 			x.sleep(retryPause)
 		}
 		upstream, _ := view.Upstream(choice.Upstream)
+		if !x.obtainPermit(upstream, len(found.usable) > 1, now) {
+			return nil, nil, false
+		}
 		return upstream, s.availability.notifyFreed, true
 	case pick.Hold:
 		x.hold(now)
@@ -140,6 +144,7 @@
 	s := x.server
 	found := candidates{}
 	_, found.needsModel = x.modelEngine()
+	limited := s.Limits.InForce() > 0
 	for _, upstream := range view.Upstreams(x.service) {
 		if upstream.State != cardamom.Live {
 			continue
@@ -158,6 +163,7 @@
 			ID: upstream.ID, Running: s.Demand.Running(upstream.ID) + others.Running, Limit: upstream.Slots,
 			FailureRate: s.Health.Rate(upstream.ID, now), OtherFailures: others.Failures,
 			Suspended: suspended, SameDataCentre: upstream.DataCentre == s.DataCentre, Avoided: x.avoided[upstream.ID],
+			RateLimited: limited && s.Limits.IsFresh(upstream, clock.Now()),
 		}
 		switch {
 		case found.needsModel:
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -1,11 +1,98 @@
 package relay
 
 import (
+	"context"
+	"time"
+
 	"cardamomcourse.example/cardamom/clock"
+	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
 )
 
+const (
+	// permitCallTimeout bounds one call for a permit. After it the request considers all
+	// upstreams again: another one may have the model by then.
+	permitCallTimeout = 400 * time.Millisecond
+	// noCoordinatorGrace is how long after its arrival a request is not refused because no
+	// coordinator answers.
+	noCoordinatorGrace = 250 * time.Millisecond
+	// minLimitedRetry and maxLimitedRetry bound the Retry-After of requests that a rate
+	// limit refuses.
+	minLimitedRetry = 200 * time.Millisecond
+	maxLimitedRetry = 10 * time.Second
+)
+
+// obtainPermit reports whether the request may be sent to the upstream: it has no rate
+// limit, or there is a permit. Otherwise the request has waited, or has ended. If other
+// upstreams can run the request, it doesn't wait for a permit for this one.
+func (x *exchange) obtainPermit(upstream *site.Upstream, others bool, now time.Time) bool {
+	s := x.server
+	limit, ok := s.Limits.Limit(upstream)
+	if !ok {
+		return true
+	}
+	need := coord.PermitNeed{Limit: limit, Urgency: x.route.Urgency(), Waited: now.Sub(x.arrived)}
+	trial := others && !s.Limits.IsFresh(upstream, clock.Now())
+	if trial {
+		s.Limits.Try(upstream, clock.Now())
+	} else {
+		need.RemainingTime = x.remaining(now)
+		need.CallTimeout = min(need.RemainingTime, permitCallTimeout)
+	}
+	result := x.awaitPermit(need)
+	switch {
+	case result.Granted:
+		s.Metrics.CountPermit("granted")
+		return true
+	case trial:
+		s.Metrics.CountPermit("refused")
+	case !result.Answered && s.Alone.Allow(limit, len(s.Views.View().Members()), clock.Now()):
+		s.Metrics.CountPermit("alone")
+		return true
+	case !result.Answered && time.Since(x.arrived) < noCoordinatorGrace:
+		x.sleep(recheckInterval)
+	case !result.Answered:
+		s.Metrics.CountPermit("unanswered")
+		x.refuseLimited(upstream, limit, time.Duration(float64(time.Second)/max(limit.PerSecond, 1/maxLimitedRetry.Seconds())))
+	case result.Wait > x.remaining(time.Now()):
+		s.Metrics.CountPermit("refused")
+		x.refuseLimited(upstream, limit, result.Wait)
+	default:
+		s.Metrics.CountPermit("later")
+	}
+	return false
+}
+
+// awaitPermit asks for a permit and counts the time as waiting.
+func (x *exchange) awaitPermit(need coord.PermitNeed) coord.PermitResult {
+	s := x.server
+	began := time.Now()
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.Closing, cancel)
+	defer stop()
+	if x.info.Model != "" && need.CallTimeout > 0 {
+		s.Demand.Waiting(x.key, 1)
+		defer s.Demand.Waiting(x.key, -1)
+	}
+	result := s.Permits.Permit(ctx, need)
+	x.waited += time.Since(began)
+	s.Metrics.ObserveDuration("permit", time.Since(began))
+	return result
+}
+
+// refuseLimited ends a request that would wait too long for a permit.
+func (x *exchange) refuseLimited(upstream *site.Upstream, limit quota.Limit, wait time.Duration) {
+	if x.endIfOver() {
+		x.markEnded()
+		return
+	}
+	x.log.Info("permit_refused", "request", x.info.ID, "upstream", upstream.ID, "limit", limit.PerSecond, "expected_ms", wait.Milliseconds())
+	x.markEnded()
+	x.giveUpFor("upstream_limited", min(max(wait, minLimitedRetry), maxLimitedRetry))
+}
+
 // recordLimit records what a response states of its upstream's rate limit. One that
 // belongs to another request states nothing, nor does one without a limit from an
 // upstream that doesn't have what the request needs: it may be another upstream at the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,11 @@
 	View() *coord.View
 }
 
+// Permits grants the permits that requests to upstreams with a rate limit need.
+type Permits interface {
+	Permit(ctx context.Context, need coord.PermitNeed) coord.PermitResult
+}
+
 // Metrics records the outcomes of requests and the durations of their stages.
 type Metrics interface {
 	CountRequest(kind, outcome, reason string)
@@ -109,6 +114,8 @@
 	CountResponse(kind, framing string, cut bool)
 	// CountRetry counts a retry by service and by whether the budget allowed it.
 	CountRetry(service string, allowed bool)
+	// CountPermit counts the answer to a request for a permit.
+	CountPermit(answer string)
 	// CountRateLimit counts a change of the rate limit of an upstream.
 	CountRateLimit(change string)
 	// CountLate counts a response that missed its route's targets.
@@ -129,7 +136,11 @@
 	Budget     *retry.Budget
 	Ledger     *poison.Ledger
 	Limits     *quota.Book
-	Metrics    Metrics
+	Permits    Permits
+	// Alone permits requests to upstreams with a rate limit while no coordinator
+	// answers.
+	Alone   *quota.Share
+	Metrics Metrics
 	// Leaving reports whether responses should close their connection. Closing is
 	// cancelled when new and waiting requests are to be refused.
 	Leaving func() bool
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -94,13 +94,15 @@
 	// suspected are the suspected upstreams of the first call for a model.
 	suspected chan []cardamom.UpstreamID
 	// calls counts the calls for a model.
-	calls   atomic.Int32
+	calls atomic.Int32
+	// permits grants the permits for upstreams with a rate limit.
+	permits *permits
 	server  *httptest.Server
 	closing context.CancelFunc
 }
 
 func newFixture(result coord.AwaitResult, names ...string) *fixture {
-	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1)}
+	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -131,7 +133,7 @@
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: conns.New(nil), Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Limits: quota.NewBook(), Metrics: metric.New(),
+		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Limits: quota.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
 	w.server = httptest.NewServer(server)
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -62,6 +62,8 @@
 	LoadingAdapters map[cardamom.ModelID][]string
 	InMemory        map[cardamom.ModelID]bool
 	OnDisk          map[cardamom.ModelID]bool
+	// RateLimit is what the answer with the report states.
+	RateLimit RateLimit
 }
 
 // OrderKind is the operation of an order.
