Soak rate limits and failing upstreams, and check both shared budgets

The soak's upstreams name limits while instances are killed, paused and cut off, and the check counts what the platform's rule does: requests within 4 s from instances that had passed on an answer with the limit half a second before and were not disturbed since.

A limit of 0 lets a request through each 2 s instead of 4, so that its end is noticed within that time.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -103,7 +103,7 @@
 	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the first soak")
 	command.Flags().IntVar(&seeds, "seeds", 1, "number of soaks, run one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "number of instances")
-	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name; if empty, all but all_killed and all_killed_store_restored")
+	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name; if empty, all but those that depend on being named: all_killed, all_killed_store_restored, rate_limit, all_failing")
 	command.Flags().BoolVar(&unfenced, "unfenced", false, "engines accept orders with an older fencing token")
 	command.Flags().DurationVar(&span, "span", 8*time.Second, "time during which faults start")
 	return command
@@ -152,11 +152,15 @@
 	// ended is when callers were told to stop.
 	ended    time.Time
 	affected map[*host.Instance]bool
+	// disturbed are the faults of instances by their entry address.
+	disturbed map[string][]*interval
+	limits    []*namedLimit
 }
 
 // sentRequest is a request and its response as the caller saw them.
 type sentRequest struct {
 	kind     string
+	address  string
 	body     string
 	response host.Response
 	err      error
@@ -197,7 +201,7 @@
 	}
 	s := &soak{
 		random: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, sent: make(map[string]*sentRequest), version: 1,
-		affected: make(map[*host.Instance]bool), faults: run.faults, unfenced: run.unfenced,
+		affected: make(map[*host.Instance]bool), disturbed: make(map[string][]*interval), faults: run.faults, unfenced: run.unfenced,
 	}
 	if err := s.start(ctx, run.program, logs, run.instances); err != nil {
 		wire.NotStarted = append(wire.NotStarted, fmt.Sprintf("seed %d: %v", seed, err))
@@ -221,6 +225,10 @@
 		sleep.For(ctx, time.Duration(s.random.Int64N(int64(2*soakFaultInterval))))
 	}
 	s.pendingUndos.Wait()
+	if len(s.limits) > 0 {
+		sleep.For(ctx, soakLimitWindow)
+	}
+	s.endLimits()
 	sleep.For(ctx, soakSettleTime)
 	s.checkConfiguration()
 	s.ended = time.Now()
@@ -290,7 +298,7 @@
 		if kind == "/stream/" || kind == "/resume/" {
 			request.Model = soakModels[random.IntN(len(soakModels))]
 		}
-		e := &sentRequest{kind: kind, body: request.Body, began: time.Now()}
+		e := &sentRequest{kind: kind, address: address, body: request.Body, began: time.Now()}
 		s.mu.Lock()
 		s.sent[request.ID] = e
 		s.mu.Unlock()
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -48,6 +48,8 @@
 		s.checkResponse(id, s.sent[id], runs[id])
 	}
 	s.checkOrders()
+	s.checkLimits()
+	s.checkBudget()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -26,6 +26,8 @@
 var namedFaults = []soakFault{
 	{"all_killed", func(s *soak, _ *rand.Rand, _ time.Duration) func() { return s.killAll() }},
 	{"all_killed_store_restored", killAllAndRestore},
+	{"rate_limit", nameLimit},
+	{"all_failing", failEverywhere},
 }
 
 // soakFaults are the faults of a soak unless names are given.
@@ -186,9 +188,7 @@
 	if err := instance.Start(); err != nil {
 		s.addViolation(fmt.Sprintf("start %s: %v", instance.Name(), err))
 	}
-	s.mu.Lock()
-	delete(s.affected, instance)
-	s.mu.Unlock()
+	s.release(instance)
 }
 
 // killAll kills all instances that no other fault affects; the returned function starts
@@ -198,7 +198,7 @@
 	var killed []*host.Instance
 	for _, instance := range s.site.Instances {
 		if !s.affected[instance] && instance.Signal(syscall.SIGKILL) == nil {
-			s.affected[instance] = true
+			s.disturb(instance)
 			killed = append(killed, instance)
 		}
 	}
@@ -234,10 +234,25 @@
 	if s.affected[instance] {
 		return nil
 	}
-	s.affected[instance] = true
+	s.disturb(instance)
 	return instance
 }
 
+// disturb marks an instance as affected by a fault from now on. s.mu must be held.
+func (s *soak) disturb(instance *host.Instance) {
+	s.affected[instance] = true
+	s.disturbed[instance.EntryAddress] = append(s.disturbed[instance.EntryAddress], &interval{from: time.Now()})
+}
+
+// release ends the fault that affects an instance.
+func (s *soak) release(instance *host.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.affected, instance)
+	faults := s.disturbed[instance.EntryAddress]
+	faults[len(faults)-1].to = time.Now()
+}
+
 func pauseInstance(s *soak, random *rand.Rand, _ time.Duration) func() {
 	instance := s.reserveInstance(random)
 	if instance == nil || instance.Signal(syscall.SIGSTOP) != nil {
@@ -247,9 +262,7 @@
 		if err := instance.Signal(syscall.SIGCONT); err != nil {
 			s.addViolation(err.Error())
 		}
-		s.mu.Lock()
-		delete(s.affected, instance)
-		s.mu.Unlock()
+		s.release(instance)
 	}
 }
 
@@ -258,9 +271,7 @@
 		if err := instance.Signal(syscall.SIGHUP); err != nil {
 			s.addViolation(err.Error())
 		}
-		s.mu.Lock()
-		delete(s.affected, instance)
-		s.mu.Unlock()
+		s.release(instance)
 	}
 	return nil
 }
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -22,6 +22,13 @@
 	u.next = append(u.next, behaviours...)
 }
 
+// ClearBehaviours drops the appended behaviours that no request has met yet.
+func (u *Upstream) ClearBehaviours() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.next = nil
+}
+
 // ShareScript makes the upstream consume a script that it shares with other
 // upstreams.
 func (u *Upstream) ShareScript(script *[]Behaviour) {
@@ -64,7 +71,7 @@
 		return
 	}
 	u.mu.Lock()
-	u.arrivals = append(u.arrivals, time.Now())
+	u.arrivals = append(u.arrivals, Arrival{r.Header.Get("Request-Id"), time.Now()})
 	if len(u.rateLimit) > 0 {
 		w.Header()[rateLimitHeader] = u.rateLimit
 	}
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -110,8 +110,8 @@
 	runs   []Run
 	// rateLimit are the values of the header that names a rate limit; empty for none.
 	rateLimit []string
-	// arrivals are when requests arrived, also those that were refused.
-	arrivals []time.Time
+	// arrivals are the requests that arrived, also those that were refused.
+	arrivals []Arrival
 	// resident has the loaded adapters of each model in memory.
 	resident map[string][]string
 	disk     map[string]bool
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -240,6 +240,10 @@
 	// ID is the response's Request-Id.
 	ID         string
 	RetryAfter time.Duration
+	// Upstream is the upstream that signed it, and RateLimited means that it names a rate
+	// limit.
+	Upstream    string
+	RateLimited bool
 	// Complete reports whether the body was read to its end.
 	Complete bool
 }
@@ -288,6 +292,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	got := Response{Status: response.StatusCode, Body: string(body), Sealed: response.Header.Get("Server-Seal") != "", Complete: err == nil, ID: response.Header.Get("Request-Id")}
+	got.Upstream, got.RateLimited = strings.TrimPrefix(response.Header.Get("Server-Seal"), "seal."), response.Header.Get(rateLimitHeader) != ""
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		got.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -62,7 +62,7 @@
 		began := time.Now()
 		served := sendAll(s, host.Request{ID: "safe", Path: "/safe/x"}, 25*time.Millisecond, limitNotice+2*limitWindow)
 		for _, upstream := range upstreams {
-			Expect(upstream.MostArrivals(began.Add(limitNotice), time.Now(), limitWindow)).To(BeNumerically("<=", limitAllowance(perSecond)), upstream.ID())
+			Expect(host.MostWithin(upstream.ArrivalTimes(began.Add(limitNotice)), limitWindow)).To(BeNumerically("<=", limitAllowance(perSecond)), upstream.ID())
 		}
 		Expect(served).To(BeNumerically(">=", int(perSecond*limitWindow.Seconds())*len(upstreams)))
 	})
--- a/quota/gate.go
+++ b/quota/gate.go
@@ -9,7 +9,7 @@
 const (
 	// trialRate is the least rate, in requests a second, that is permitted, so that the
 	// end of a limit of 0 is noticed.
-	trialRate = 0.25
+	trialRate = 0.5
 	// burstTime is the time for which permits that nobody asked for are kept.
 	burstTime = 500 * time.Millisecond
 	// oldestEvery is how often the request that has waited longest gets the permit
