Keep the requests that upstreams died of across a start of all instances

Found while looking for the cause of the broken retry budget elsewhere: what all instances share and each of them forgets. A request that has crashed two upstreams is refused by all, but only as long as one of them lives. After all have started again it is unknown, and is let through to crash two more each time; the platform allows three retries after the third crash.

The coordinator now writes the suspects, 64 at most, with its lease row at each renewal, and whoever reads the row merges them, so the next coordinator knows them before its term and the others from their first exchange. Lost is what was learned within the last renewal.

--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -13,6 +13,7 @@
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/table"
 )
 
@@ -49,8 +50,22 @@
 	// full speed, per service. It is kept in the row because only slowed-down loads
 	// reveal it.
 	StoreConcurrency map[string]wireConcurrency `json:"at_once,omitempty"`
+	// Suspects are the requests that upstreams died of. They are kept in the row because
+	// all instances may start again at once, and would let each of them crash further
+	// upstreams.
+	Suspects []wireSuspect `json:"suspects,omitempty"`
 }
 
+// wireSuspect is a request that upstreams died of.
+type wireSuspect struct {
+	Fingerprint uint64   `json:"fingerprint"`
+	Deaths      []string `json:"deaths"`
+}
+
+// maxStoredSuspects bounds the suspects in the lease row, which is written at each
+// renewal.
+const maxStoredSuspects = 64
+
 type wireConcurrency struct {
 	Loads int  `json:"loads"`
 	Bound bool `json:"bound"`
@@ -66,6 +81,9 @@
 			l.state.storeConcurrency[cardamom.ServiceID(service)] = plan.StoreConcurrency{Loads: concurrency.Loads, LimitReached: concurrency.Bound}
 		}
 	}
+	if l.term == nil {
+		l.state.ledger.Merge(decodeStoredSuspects(wire.Suspects, time.Now()), time.Now())
+	}
 	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed, Incarnation: wire.Incarnation}
 }
 
@@ -74,13 +92,30 @@
 	for service, known := range l.state.storeConcurrency {
 		concurrency[string(service)] = wireConcurrency{known.Loads, known.LimitReached}
 	}
-	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency})
+	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now()))})
 	if err != nil {
 		return nil
 	}
 	return value
 }
 
+// encodeStoredSuspects returns the suspects with the most deaths.
+func encodeStoredSuspects(suspects []poison.Suspect) []wireSuspect {
+	stored := make([]wireSuspect, 0, min(len(suspects), maxStoredSuspects))
+	for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
+		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths()})
+	}
+	return stored
+}
+
+func decodeStoredSuspects(stored []wireSuspect, now time.Time) []poison.Suspect {
+	suspects := make([]poison.Suspect, 0, len(stored))
+	for _, wire := range stored {
+		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, now.Add(suspectRetention)))
+	}
+	return suspects
+}
+
 // stepLease reads, takes or renews the lease if that is due.
 func (l *Loop) stepLease(now time.Time) {
 	if l.term != nil && !l.lease.Held() {
