Bound what is read of an upstream that sends without end

What callers and operators would see: an upstream may send a header or a body that never ends. A status line or header lines without end filled the instance's memory until it was killed, with all its requests; informational responses, an event without end and the body of a refusal that stalls held their request to its deadline.

Cause: http.ReadResponse has no bound of its own, and the relay had none for an event, for the whole of a plain response, or for the time in which it reads a body only to keep its connection.

A header has 64 KB, informational responses included; an event 256 KB; a plain response 32 MB; a body that is discarded 64 KB and 30 ms. Past that the connection is closed and the request is answered or sent again as after any broken response.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -21,6 +21,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -59,6 +60,13 @@
 	maxIdleNonRepeatable = 500 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections to one upstream.
 	maxIdlePerAddress = 8
+	// maxHeadBytes bounds what is read of an upstream before the end of its header,
+	// informational responses included.
+	maxHeadBytes = 64 << 10
+	// discardTime and discardBytes bound how much of a body is read only to keep its
+	// connection: a new one takes a few milliseconds.
+	discardTime  = 30 * time.Millisecond
+	discardBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 	// maxInlineBodyBytes bounds a body that is written before the response is
@@ -97,6 +105,7 @@
 type conn struct {
 	net.Conn
 	address     string
+	bounded     *boundedReader
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
@@ -173,12 +182,14 @@
 			bodyWritten <- writeErr
 		}()
 	}
+	c.bounded.left = maxHeadBytes
 	response, err := readHeader(c.reader, request.Method) //nolint:bodyclose // Response.Close closes or reuses the connection, which is all the body holds.
 	if err != nil {
 		stop()
 		_ = c.Close()
 		return nil, err
 	}
+	c.bounded.left = math.MaxInt64
 	return &Response{pool: p, conn: c, response: response, bodyWritten: bodyWritten, stop: stop}, nil
 }
 
@@ -223,7 +234,8 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	bounded := &boundedReader{source: raw, left: math.MaxInt64}
+	return &conn{Conn: raw, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // pop takes the most recently used idle connection, nil if there is none.
@@ -255,14 +267,15 @@
 	}
 }
 
-// Sweep closes connections that have exceeded their idle timeout.
+// Sweep closes connections that have exceeded their idle timeout, and those on which
+// bytes came that no request has asked for.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	var expired []*conn
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.lastUsed) >= c.idleTimeout {
+			if now.Sub(c.lastUsed) >= c.idleTimeout || !reusable(c.Conn) {
 				expired = append(expired, c)
 			} else {
 				kept = append(kept, c)
@@ -324,6 +337,16 @@
 	return n, err
 }
 
+// Discard reads the rest of the body as far as that takes little, so that the connection
+// can be reused.
+func (r *Response) Discard() {
+	timer := time.AfterFunc(discardTime, func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, discardBytes))
+	if !timer.Stop() {
+		r.complete = false
+	}
+}
+
 // Close returns the connection to the pool if request and response are complete
 // and no bytes follow, and closes it otherwise.
 func (r *Response) Close() {
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -175,3 +175,29 @@
 		Eventually(closed, 10*time.Second).Should(BeClosed())
 	})
 })
+
+var _ = Describe("an idle connection on which bytes come that nobody asked for", func() {
+	It("is closed by the next sweep", func() {
+		more, closed := make(chan struct{}), make(chan struct{})
+		address := startUpstream(func(c net.Conn, _ int) {
+			if !readRequest(c) {
+				return
+			}
+			_, _ = io.WriteString(c, answer)
+			<-more
+			_, _ = io.WriteString(c, strings.Repeat("x", 1000))
+			_, _ = io.Copy(io.Discard, c)
+			close(closed)
+		})
+		pool := conns.New(nil)
+		response, err := pool.Do(context.Background(), address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(response)
+		Expect(err).NotTo(HaveOccurred())
+		response.Close()
+		pool.Sweep(time.Now())
+		Consistently(closed, 50*time.Millisecond).ShouldNot(BeClosed())
+		close(more)
+		Eventually(func() chan struct{} { pool.Sweep(time.Now()); return closed }, 10*time.Second).Should(BeClosed())
+	})
+})
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -80,7 +80,7 @@
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
 		behaviour = Misdirected
 	}
-	if behaviour != Full && behaviour != Misdirected && behaviour != UnmarkedRefusal {
+	if behaviour != Full && behaviour != EndlessRefusal && behaviour != StalledRefusal && behaviour != Misdirected && behaviour != UnmarkedRefusal {
 		u.runs = append(u.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	}
 	u.mu.Unlock()
@@ -114,6 +114,9 @@
 	case UnmarkedRefusal:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case EndlessStatus, EndlessHeader, EndlessInformational, EndlessChunkLine, EndlessTrailer, EndlessBody, EndlessEvent, EndlessRefusal, StalledRefusal, EndlessTail:
+		u.writeEndless(behaviour, w, r)
+		return
 	case Malformed, ExtraResponse, Unframed, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
 		u.writeRaw(behaviour, w, r)
 		return
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -50,6 +50,27 @@
 	WholeCut Behaviour = "whole-cut"
 	// Comment is Unframed with a comment after the last event.
 	Comment Behaviour = "comment"
+	// EndlessStatus runs the request and sends a status line that never ends.
+	EndlessStatus Behaviour = "endless-status"
+	// EndlessHeader runs the request and sends header lines without end.
+	EndlessHeader Behaviour = "endless-header"
+	// EndlessInformational runs the request and sends responses 103 without end.
+	EndlessInformational Behaviour = "endless-informational"
+	// EndlessChunkLine runs the request and sends the size of a chunk with an extension
+	// that never ends.
+	EndlessChunkLine Behaviour = "endless-chunk-line"
+	// EndlessTrailer runs the request and sends trailers without end.
+	EndlessTrailer Behaviour = "endless-trailer"
+	// EndlessBody runs the request and sends chunks without end.
+	EndlessBody Behaviour = "endless-body"
+	// EndlessEvent runs the request and sends an event that never ends.
+	EndlessEvent Behaviour = "endless-event"
+	// EndlessRefusal is Full with a body that never ends.
+	EndlessRefusal Behaviour = "endless-refusal"
+	// StalledRefusal is Full with a body that stops before its end.
+	StalledRefusal Behaviour = "stalled-refusal"
+	// EndlessTail runs the request and sends bytes without end after a whole answer.
+	EndlessTail Behaviour = "endless-tail"
 	// Misdirected answers 421: the upstream doesn't have the model, or the request
 	// is meant for another upstream.
 	Misdirected Behaviour = "misdirected"
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -222,7 +222,7 @@
 
 // handleNotRun handles an upstream's answer that it has not run the request.
 func (x *exchange) handleNotRun(upstream *site.Upstream, response *conns.Response, reply ResponseInfo) bool {
-	_, _ = drain(response)
+	response.Discard()
 	x.rejected++
 	x.log.Info("rejected", "request", x.info.ID, "upstream", upstream.ID, "status", response.Status(), "model", x.info.Model, "adapter", x.info.Adapter, "rejected", x.rejected)
 	if reply.Misdirected {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -97,12 +97,13 @@
 	calls atomic.Int32
 	// permits grants the permits for upstreams with a rate limit.
 	permits *permits
+	pool    *conns.Pool
 	server  *httptest.Server
 	closing context.CancelFunc
 }
 
 func newFixture(result coord.AwaitResult, names ...string) *fixture {
-	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}}
+	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, pool: conns.New(nil)}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -132,7 +133,7 @@
 	DeferCleanup(closeNow)
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
-		Pool: conns.New(nil), Demand: demand.New(), Health: health.New(), Pace: pace.New(),
+		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
 		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Limits: quota.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/health"
@@ -21,13 +23,16 @@
 	maxBufferedBytes = 256 << 10
 	// readBufferBytes is the size of the buffer for one read of a body.
 	readBufferBytes = 8 << 10
-	// maxDrainBytes bounds what is read of a body that is discarded.
-	maxDrainBytes = 64 << 10
+	// maxResponseBytes bounds the body of a response that is no stream.
+	maxResponseBytes = 32 << 20
 	// logOneIn is the sampling rate of log lines for successful requests: one in
 	// logOneIn, chosen by id, so that all instances choose the same requests.
 	logOneIn = 16
 )
 
+// errTooLarge means that a response is larger than any that is forwarded.
+var errTooLarge = eris.New("response is too large")
+
 // notRunStatuses are the statuses that mean to callers that a request has not run.
 var notRunStatuses = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
@@ -44,7 +49,7 @@
 		x.runs++
 		x.server.Health.Failed(upstream.ID, health.ServerError, now)
 		if x.route.Kind == site.Idempotent && x.mayRetry() {
-			_, _ = drain(response)
+			response.Discard()
 			x.avoid(upstream.ID)
 			x.log.Info("erred", "request", x.info.ID, "upstream", upstream.ID, "status", status, "age_ms", x.ageMS(now))
 			return true
@@ -56,13 +61,13 @@
 	if notRunStatuses[status] {
 		// To callers these statuses mean that the request has not run. The upstream
 		// did not state that, so the request may have run.
-		_, _ = drain(response)
+		response.Discard()
 		x.fail(http.StatusBadGateway, "unfounded_refusal")
 		return false
 	}
 	if x.headerSent && status >= http.StatusMultipleChoices {
 		// The caller has the start of the stream, and this response is an error.
-		_, _ = drain(response)
+		response.Discard()
 		x.abort("not_resumed")
 	}
 	if x.route.Kind == site.Streaming && status < http.StatusMultipleChoices {
@@ -74,6 +79,10 @@
 // forwardWhole reads a response whole, or up to maxBufferedBytes, before it
 // forwards it.
 func (x *exchange) forwardWhole(upstream *site.Upstream, response *conns.Response) bool {
+	if response.Length() > maxResponseBytes {
+		x.runs--
+		return x.handleBroken(upstream, errTooLarge, x.arrived)
+	}
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
 		x.runs--
@@ -94,13 +103,20 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.Length(), 10))
 	}
 	x.w.WriteHeader(response.Status())
-	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(body), response)); err != nil {
+	rest := io.MultiReader(bytes.NewReader(body), response)
+	if written, err := io.Copy(x.w, io.LimitReader(rest, maxResponseBytes)); err != nil || written == maxResponseBytes && !atEnd(rest) {
 		x.abort("cut_midway")
 	}
 	x.end(outcomeOf(response.Status()), "answered", response.Status())
 	return false
 }
 
+// atEnd reports whether nothing is left to read.
+func atEnd(rest io.Reader) bool {
+	n, err := io.ReadFull(rest, make([]byte, 1))
+	return n == 0 && errors.Is(err, io.EOF)
+}
+
 // copyHeader copies the headers of the upstream's response.
 func (x *exchange) copyHeader(response *conns.Response) {
 	header := x.w.Header()
@@ -198,8 +214,3 @@
 	}
 	return "failed"
 }
-
-// drain discards the rest of a body, so that its connection can be reused.
-func drain(response *conns.Response) (int64, error) {
-	return io.Copy(io.Discard, io.LimitReader(response, maxDrainBytes))
-}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -14,10 +14,16 @@
 	"cardamomcourse.example/cardamom/site"
 )
 
+// maxEventBytes bounds one event of a stream, which has to be whole before it is
+// forwarded.
+const maxEventBytes = 256 << 10
+
 // Errors of a stream whose response ended without an error of the connection.
 var (
 	// errInsideEvent means that the stream ended inside an event.
 	errInsideEvent = eris.New("stream ended inside an event")
+	// errEventTooLong means that an event did not end within maxEventBytes.
+	errEventTooLong = eris.New("event of the stream is too long")
 	// errNoEvent means that the connection closed after the header.
 	errNoEvent = eris.New("stream ended with its connection before its first event")
 )
@@ -76,6 +82,8 @@
 			lastEvent = read
 		}
 		switch {
+		case len(partial) > maxEventBytes:
+			return x.handleStreamBroken(upstream, errEventTooLong)
 		case errors.Is(err, io.EOF):
 			x.tailBytes, rest.tail = len(partial), partial
 			if err := rest.check(); err != nil {
