Bound replies of the store, the platform, engines and other instances, and settings files

The same fault as with upstreams, elsewhere: replies between instances and of the platform's table, list and engines (cardd) were read to their end, however far that was; headers of all of them had net/http's 10 MB. A settings file that never ends (a device) filled the memory.

One transport now bounds headers to 64 KB, informational responses included, and bodies to what the reader expects; past that the call fails and its connection is closed. Calls to an instance have 16 MB and 10 s to arrive. Settings files have 4 MB.

--- a/cmd/cardctl/profile.go
+++ b/cmd/cardctl/profile.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"os/user"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/policy"
 	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/table"
@@ -63,7 +63,7 @@
 }
 
 func readDocument(path string) (*policy.Document, []byte, error) {
-	body, err := os.ReadFile(path)
+	body, err := conf.ReadFile(path)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "read document")
 	}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -12,7 +12,6 @@
 
 import (
 	_ "embed"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -203,7 +202,7 @@
 
 // Load reads and checks the settings file at path.
 func Load(path string) (*Settings, error) {
-	body, err := os.ReadFile(path)
+	body, err := ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -26,6 +26,8 @@
 	earlyExchangePercent = 12
 	// exchangeTimeout bounds an exchange; one takes a few milliseconds.
 	exchangeTimeout = 600 * time.Millisecond
+	// maxReplyBytes bounds a coordinator's reply: all upstreams and the configuration.
+	maxReplyBytes = 32 << 20
 	// peerIdleTimeout is how long an idle connection to the coordinator is kept.
 	peerIdleTimeout = 5 * time.Second
 	// peerConnectTimeout bounds connecting to the coordinator.
@@ -41,7 +43,7 @@
 func newPeers() *peers {
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
-	return &peers{client: &http.Client{Transport: framed.New(transport)}, clients: make(map[string]syncpb.Sync)}
+	return &peers{client: &http.Client{Transport: framed.New(framed.Limit(transport, maxReplyBytes))}, clients: make(map[string]syncpb.Sync)}
 }
 
 func (p *peers) dial(address string) syncpb.Sync {
--- a/engine/http.go
+++ b/engine/http.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/framed"
 	"cardamomcourse.example/cardamom/meter"
 )
 
@@ -29,11 +30,14 @@
 // Reports returns how often Report was called.
 func (h *HTTP) Reports() int64 { return h.reports.Load() }
 
+// maxReportBytes bounds an engine's report.
+const maxReportBytes = 4 << 20
+
 // NewHTTP returns a client whose calls last at most timeout.
 func NewHTTP(timeout time.Duration) *HTTP {
 	counted := &meter.Meter{}
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DialContext: counted.DialContext}
-	return &HTTP{meter: counted, client: &http.Client{Timeout: timeout, Transport: transport}}
+	return &HTTP{meter: counted, client: &http.Client{Timeout: timeout, Transport: framed.Limit(transport, maxReportBytes)}}
 }
 
 // OrderWire is the JSON form of an Order.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -24,6 +24,8 @@
 	idleConnTimeout = 30 * time.Second
 	// maxIdleConnsPerUpstream limits the idle connections to one upstream.
 	maxIdleConnsPerUpstream = 256
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 	// maxResponseBytes limits the body of a response that is not streamed.
 	maxResponseBytes = 32 << 20
 )
@@ -51,7 +53,7 @@
 		Transport: &http.Transport{
 			DialContext:         dialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
-			DisableCompression: true, DisableKeepAlives: !keepAlive,
+			DisableCompression: true, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes,
 			WriteBufferSize: 16 << 10, ReadBufferSize: 16 << 10,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/framed/framed.go
+++ b/framed/framed.go
@@ -1,10 +1,11 @@
 // Package framed makes an HTTP client fail on responses whose end can't be told from
 // a connection that broke: those with neither a length nor chunks. Protobuf messages
-// need it, as one that is cut between two fields decodes as if it were whole.
+// need it, as one that is cut between two fields decodes as if it were whole. It also
+// bounds responses that have no end at all.
 //
 // # Usage
 //
-//	client := &http.Client{Transport: framed.New(transport)}
+//	client := &http.Client{Transport: framed.New(framed.Limit(transport, maxReplyBytes))}
 //	peer := syncpb.NewSyncProtobufClient("http://10.0.0.7:7380", client)
 package framed
 
--- a/front/front.go
+++ b/front/front.go
@@ -47,6 +47,8 @@
 	idleTimeout = time.Minute
 	// maxHeaderBytes bounds the size in bytes of a request's headers.
 	maxHeaderBytes = 64 << 10
+	// maxSyncBytes bounds the size in bytes of another instance's call.
+	maxSyncBytes = 16 << 20
 	// maxAddresses bounds the number of addresses in an answer to callers.
 	maxAddresses = 64
 	// acceptPercent is the percentage of the grace time in which a leaving instance
@@ -201,7 +203,7 @@
 	addresses := i.settings.listen
 	syncMux := http.NewServeMux()
 	syncHandler := syncpb.NewSyncServer(coord.NewServer(i.loop))
-	syncMux.Handle(syncHandler.PathPrefix(), syncHandler)
+	syncMux.Handle(syncHandler.PathPrefix(), http.MaxBytesHandler(syncHandler, maxSyncBytes))
 	endpoints := []struct {
 		name    string
 		address string
@@ -210,7 +212,7 @@
 		{"entry", addresses.Entry, i.entryServer},
 		{"ready", addresses.Ready, i.pathServer(platform.ReadyPath, i.serveReady)},
 		{"addresses", addresses.Addresses, i.pathServer(platform.AddressPath, i.serveAddresses)},
-		{"sync", addresses.Sync, &http.Server{Handler: syncMux, ReadHeaderTimeout: headerTimeout}},
+		{"sync", addresses.Sync, &http.Server{Handler: syncMux, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 		{"metrics", addresses.Metrics, i.pathServer("/metrics", i.serveMetrics)},
 	}
 	for _, endpoint := range endpoints {
--- a/front/settings.go
+++ b/front/settings.go
@@ -3,7 +3,6 @@
 import (
 	_ "embed"
 	"net"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -198,7 +197,7 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
-	body, err := os.ReadFile(path)
+	body, err := conf.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -44,7 +44,7 @@
 	return &Dialer{
 		scheme:  scheme,
 		meter:   counted,
-		http:    &http.Client{Timeout: timeout, Transport: framed.New(transport)},
+		http:    &http.Client{Timeout: timeout, Transport: framed.New(framed.Limit(transport, maxMessageBytes))},
 		clients: make(map[string]peerpb.Peer),
 	}
 }
--- a/link/server.go
+++ b/link/server.go
@@ -15,7 +15,7 @@
 	"cardamomcourse.example/cardamom/route"
 )
 
-// maxMessageBytes is the greatest size of a request body from a peer.
+// maxMessageBytes is the greatest size of a message between instances.
 const maxMessageBytes = 16 << 20
 
 // Server handles the calls of other instances.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // ErrUnavailable means that the platform did not return the list.
@@ -63,9 +64,17 @@
 	client *http.Client
 }
 
+const (
+	// maxListBytes bounds the list: some 200 bytes an upstream at ten times the target
+	// size.
+	maxListBytes = 4 << 20
+	// idleTimeout is how long an idle connection to the platform is kept.
+	idleTimeout = 90 * time.Second
+)
+
 // NewHTTP returns a client of the platform at address; timeout bounds each request.
 func NewHTTP(address string, timeout time.Duration) *HTTP {
-	return &HTTP{url: "http://" + address + "/list", client: &http.Client{Timeout: timeout}}
+	return &HTTP{url: "http://" + address + "/list", client: &http.Client{Timeout: timeout, Transport: framed.Limit(&http.Transport{IdleConnTimeout: idleTimeout}, maxListBytes)}}
 }
 
 // Fetch returns the platform's current list.
--- a/table/http.go
+++ b/table/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // HTTP is a Store that calls the platform's HTTP interface.
@@ -22,9 +24,16 @@
 
 var _ Store = (*HTTP)(nil)
 
+const (
+	// maxReplyBytes bounds a reply: all rows of the product's own.
+	maxReplyBytes = 64 << 20
+	// idleTimeout is how long an idle connection to the platform is kept.
+	idleTimeout = 90 * time.Second
+)
+
 // NewHTTP returns a client of the table at address whose calls last at most timeout.
 func NewHTTP(address string, timeout time.Duration) *HTTP {
-	return &HTTP{base: "http://" + address, client: &http.Client{Timeout: timeout}}
+	return &HTTP{base: "http://" + address, client: &http.Client{Timeout: timeout, Transport: framed.Limit(&http.Transport{IdleConnTimeout: idleTimeout}, maxReplyBytes)}}
 }
 
 // RowWire is the JSON form of a row.
