Keep a rate limit for 0.3 s after an answer that names none, and drop those of earlier runs

Answers on different connections overtake each other, so one from before the limit may come after the first that names it; the end of a limit sends all requests that wait for a permit at once. A limit now stays in force for 0.3 s after the answer that ends it. The limit of an earlier run of an upstream was never in force, but was kept and counted until the upstream left; it is dropped with the next exchange.

Calls for a permit are held up to 1 s instead of 0.4 s, so that a long queue costs the coordinator fewer of them.

--- a/coord/permit.go
+++ b/coord/permit.go
@@ -103,7 +103,7 @@
 // permit answers a call at once if it can be granted or would wait too long, and keeps
 // it waiting else.
 func (t *term) permit(id cardamom.UpstreamID, c *permitCall, need time.Duration, now time.Time) {
-	limit, ok := t.limit(id)
+	limit, ok := t.limit(id, now)
 	if !ok {
 		// The upstream names no limit any more.
 		c.reply <- &syncpb.PermitReply{Coordinates: true, Granted: true}
@@ -120,12 +120,12 @@
 }
 
 // limit returns the limit in force for a listed upstream.
-func (t *term) limit(id cardamom.UpstreamID) (quota.Limit, bool) {
+func (t *term) limit(id cardamom.UpstreamID, now time.Time) (quota.Limit, bool) {
 	upstream, ok := t.loop.state.upstreams[id]
 	if !ok {
 		return quota.Limit{}, false
 	}
-	return t.loop.options.Limits.Limit(upstream)
+	return t.loop.options.Limits.Limit(upstream, now)
 }
 
 // recordLimit records the limit that the answer with an engine's report names. Without
@@ -154,7 +154,7 @@
 func (t *term) answerPermitCalls(now time.Time) bool {
 	for id := range t.permitCalls {
 		t.grantPermits(id, now)
-		limit, _ := t.limit(id)
+		limit, _ := t.limit(id, now)
 		left := t.permitCalls[id][:0]
 		for _, c := range t.permitCalls[id] {
 			if now.Before(c.until) {
@@ -174,7 +174,7 @@
 // grantPermits grants the permits for an upstream that there are.
 func (t *term) grantPermits(id cardamom.UpstreamID, now time.Time) {
 	for len(t.permitCalls[id]) > 0 {
-		limit, ok := t.limit(id)
+		limit, ok := t.limit(id, now)
 		next := 0
 		if ok {
 			granted, oldest := t.gate.Grant(limit, now)
@@ -197,9 +197,15 @@
 
 // pruneLimits drops the limits of upstreams that are gone and what depends on them.
 func (l *Loop) pruneLimits(now time.Time) {
-	l.options.Limits.Prune(func(id cardamom.UpstreamID) bool { _, ok := l.state.upstreams[id]; return ok }, now)
+	l.options.Limits.Prune(func(id cardamom.UpstreamID) (int64, bool) {
+		upstream, ok := l.state.upstreams[id]
+		if !ok {
+			return 0, false
+		}
+		return upstream.StartedMs, true
+	}, now)
 	if t := l.term; t != nil {
-		t.gate.Keep(func(id cardamom.UpstreamID) bool { _, ok := t.limit(id); return ok })
+		t.gate.Keep(func(id cardamom.UpstreamID) bool { _, ok := t.limit(id, now); return ok })
 		limits := make(map[cardamom.UpstreamID]float64)
 		for _, limit := range l.options.Limits.Limits() {
 			if !limit.Ended {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,8 +1,8 @@
 // Package quota holds the rate limits that upstreams in need name in their answers,
 // and divides each among the instances.
 //
-// A limit is in force from the first answer that names it until one that doesn't, or
-// until the upstream starts again. All instances share it: the coordinator permits
+// A limit is in force from the first answer that names it until shortly after one that
+// doesn't, or until the upstream starts again. All instances share it: the coordinator permits
 // each request (Gate); while none answers, each instance sends a small share of its
 // own (Share).
 //
@@ -10,7 +10,7 @@
 //
 //	book := quota.NewBook()
 //	change := book.State(upstream, response.RateLimit, now)
-//	if limit, ok := book.Limit(upstream); ok { /* ask for a permit */ }
+//	if limit, ok := book.Limit(upstream, now); ok { /* ask for a permit */ }
 package quota
 
 import (
@@ -25,6 +25,10 @@
 	// endedRetention is how long it is kept that a limit has ended, so that all
 	// instances learn it from the coordinator.
 	endedRetention = 20 * time.Second
+	// endDelay is how long after an answer without a limit the limit stays in force.
+	// Answers on different connections overtake each other, and all requests that wait are
+	// sent when a limit ends.
+	endDelay = 300 * time.Millisecond
 	// freshTime is how long after it was stated a limit is believed without a trial: the
 	// upstream may have no need for it any more.
 	freshTime = 2 * time.Second
@@ -37,10 +41,11 @@
 	Upstream cardamom.UpstreamID
 	// StartedMs is the start time of the run in Unix milliseconds.
 	StartedMs int64
-	// Ended means that the upstream names no limit any more.
+	// Ended means that the upstream names no limit any more. PerSecond is the last one.
 	Ended     bool
 	PerSecond float64
-	// Stated is when the answer came that states this.
+	// Stated is when the newest answer came that names the limit, or the first one that
+	// doesn't.
 	Stated time.Time
 }
 
@@ -135,21 +140,27 @@
 		return Change{}
 	case ok && known.StartedMs == limit.StartedMs && !limit.Stated.After(known.Stated):
 		return Change{}
-	case !ok && (limit.Ended || len(b.limits) >= maxUpstreams):
+	case !ok && len(b.limits) >= maxUpstreams:
 		return Change{}
 	}
-	b.limits[limit.Upstream] = limit
 	inForce := ok && known.StartedMs == limit.StartedMs && !known.Ended
+	if limit.Ended {
+		if !inForce {
+			return Change{}
+		}
+		limit.PerSecond = known.PerSecond
+	}
+	b.limits[limit.Upstream] = limit
 	change := Change{Limit: limit}
 	if inForce {
 		change.Before = known.PerSecond
 	}
 	switch {
-	case limit.Ended && inForce:
+	case limit.Ended:
 		change.Kind = Ended
-	case !limit.Ended && !inForce:
+	case !inForce:
 		change.Kind = Began
-	case !limit.Ended && known.PerSecond != limit.PerSecond:
+	case known.PerSecond != limit.PerSecond:
 		change.Kind = Adjusted
 	default:
 		return Change{}
@@ -158,17 +169,17 @@
 }
 
 // Limit returns the limit that is in force for the present run of an upstream.
-func (b *Book) Limit(upstream *site.Upstream) (Limit, bool) {
+func (b *Book) Limit(upstream *site.Upstream, now time.Time) (Limit, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit, ok := b.limits[upstream.ID]
-	return limit, ok && !limit.Ended && limit.StartedMs == upstream.StartedMs
+	return limit, ok && limit.StartedMs == upstream.StartedMs && (!limit.Ended || now.Sub(limit.Stated) < endDelay)
 }
 
 // IsFresh reports whether the upstream has a limit that was stated, or tried, a short
 // time ago. Others are preferred to it.
 func (b *Book) IsFresh(upstream *site.Upstream, now time.Time) bool {
-	limit, ok := b.Limit(upstream)
+	limit, ok := b.Limit(upstream, now)
 	if !ok {
 		return false
 	}
@@ -208,19 +219,19 @@
 	return count
 }
 
-// Prune removes the limits of upstreams that are not listed any more and of those that
-// ended some time ago.
-func (b *Book) Prune(listed func(id cardamom.UpstreamID) bool, now time.Time) {
+// Prune removes the limits of upstreams that are not listed any more or have started
+// again, and those that ended some time ago. listed returns when an upstream started.
+func (b *Book) Prune(listed func(id cardamom.UpstreamID) (startedMs int64, ok bool), now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, limit := range b.limits {
-		if !listed(id) || limit.Ended && now.Sub(limit.Stated) > endedRetention {
+		if startedMs, ok := listed(id); !ok || limit.StartedMs < startedMs || limit.Ended && now.Sub(limit.Stated) > endedRetention {
 			delete(b.limits, id)
 			delete(b.tried, id)
 		}
 	}
 	for id := range b.ignored {
-		if !listed(id) {
+		if _, ok := listed(id); !ok {
 			delete(b.ignored, id)
 		}
 	}
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -13,7 +13,7 @@
 const (
 	// permitCallTimeout bounds one call for a permit. After it the request considers all
 	// upstreams again: another one may have the model by then.
-	permitCallTimeout = 400 * time.Millisecond
+	permitCallTimeout = time.Second
 	// noCoordinatorGrace is how long after its arrival a request is not refused because no
 	// coordinator answers.
 	noCoordinatorGrace = 250 * time.Millisecond
@@ -28,7 +28,7 @@
 // upstreams can run the request, it doesn't wait for a permit for this one.
 func (x *exchange) obtainPermit(upstream *site.Upstream, others bool, now time.Time) bool {
 	s := x.server
-	limit, ok := s.Limits.Limit(upstream)
+	limit, ok := s.Limits.Limit(upstream, clock.Now())
 	if !ok {
 		return true
 	}
