--- a/simul/coordinator.go
+++ b/simul/coordinator.go
@@ -6,6 +6,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
 )
 
@@ -28,6 +29,9 @@
 	sums    *demand.Sums
 	reports map[int]demand.Report
 	waiting []waiter
+	limits  *quota.Book
+	gate    *quota.Gate
+	permits map[cardamom.UpstreamID][]*permitCall
 }
 
 // waiter is an instance that waits for a model.
@@ -39,10 +43,16 @@
 
 func newCoordinator(p *play, spec *site.EngineSpec) *coordinator {
 	c := &coordinator{play: p, planner: plan.New(spec, p.profile, true, p.events.now), sums: demand.NewSums(), reports: make(map[int]demand.Report)}
+	c.startLimits()
 	p.events.after(lookInterval, c.look)
 	return c
 }
 
+// startLimits begins without any limits and permits.
+func (c *coordinator) startLimits() {
+	c.limits, c.gate, c.permits = quota.NewBook(), quota.NewGate(), make(map[cardamom.UpstreamID][]*permitCall)
+}
+
 // listed passes an engine's state to the plan once the platform lists it.
 func (c *coordinator) listed(e *engine, after time.Duration) {
 	c.play.events.after(after, func(now time.Time) {
@@ -98,6 +108,7 @@
 		}
 	}
 	c.waiting = still
+	c.answerPermits(now)
 	c.play.events.after(lookInterval, c.look)
 }
 
--- a/simul/engine.go
+++ b/simul/engine.go
@@ -40,6 +40,10 @@
 	seq    int64
 	busy   bool
 	report []reportAt
+	// limit is the rate limit that the engine names, nil if it names none.
+	limit *float64
+	// arrivals are when requests arrived.
+	arrivals []time.Time
 	// unloading is the model whose unload waits for its runs.
 	unloading cardamom.ModelID
 }
@@ -52,6 +56,7 @@
 
 // submit adds a request, or rejects it.
 func (e *engine) submit(r *run, now time.Time) {
+	e.arrivals = append(e.arrivals, now)
 	_, loaded := e.Loaded[r.model]
 	if e.down || !loaded || e.unloading == r.model || len(e.queue)+len(e.batch) >= e.spec.Slots*3 {
 		r.onEnd(false)
--- a/simul/exchange.go
+++ b/simul/exchange.go
@@ -86,16 +86,17 @@
 	if i.play.without["hold"] {
 		window = 0
 	}
+	candidates := i.candidates(x, now)
 	choice := pick.Choose(pick.Request{
 		Tokens: x.prompt, Window: window, Age: now.Sub(x.arrived), Target: x.route.TargetLatency, Remaining: x.remaining(now),
-	}, i.candidates(x, now))
+	}, candidates)
 	switch choice.Action {
 	case pick.Send, pick.SendAgain:
-		if x.sends > 0 && !i.budget.AllowRetry(service, now).Allowed {
-			x.refuse("retry_budget", shortRetryAfter)
+		if limit, trial, ok := x.needsPermit(choice, len(candidates), now); ok {
+			x.permit(limit, trial, now)
 			return
 		}
-		x.send(i.play.engines[choice.Upstream], now)
+		x.sendOnce(i.play.engines[choice.Upstream], now)
 	case pick.Hold:
 		x.retry(holdRecheck)
 	case pick.TooSlow:
@@ -111,6 +112,15 @@
 	}
 }
 
+// sendOnce sends the request, if it is sent again only within the retry budget.
+func (x *exchange) sendOnce(e *engine, now time.Time) {
+	if x.sends > 0 && !x.instance.budget.AllowRetry(service, now).Allowed {
+		x.refuse("retry_budget", shortRetryAfter)
+		return
+	}
+	x.send(e, now)
+}
+
 // awaitModel waits for the coordinator to have the model loaded.
 func (x *exchange) awaitModel(now time.Time) {
 	i := x.instance
@@ -193,6 +203,9 @@
 		return
 	}
 	i := x.instance
+	if x.lastEvent.IsZero() {
+		i.limits.State(&x.engine.Upstream, x.engine.rateLimit(), now)
+	}
 	x.wait.FirstEvent(now)
 	i.health.Succeeded(x.engine.ID, now)
 	if !x.lastEvent.IsZero() && x.route.TargetGap > 0 {
@@ -219,6 +232,9 @@
 		return
 	}
 	x.rejected++
+	if !e.down {
+		i.limits.State(&e.Upstream, e.rateLimit(), now)
+	}
 	if e.down {
 		i.health.Failed(e.ID, health.Unreachable, now)
 		i.demand.Failed(e.ID)
--- a/simul/instance.go
+++ b/simul/instance.go
@@ -10,6 +10,7 @@
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/pick"
+	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -42,6 +43,7 @@
 	pace         *pace.Tracker
 	health       *health.Tracker
 	budget       *retry.Budget
+	limits       *quota.Book
 	view         map[cardamom.UpstreamID]*site.Upstream
 	others       map[cardamom.UpstreamID]demand.Upstream
 	since        uint64
@@ -62,6 +64,7 @@
 	i.down = false
 	i.demand, i.pace, i.health, i.budget = demand.New(), pace.New(), health.New(), retry.New(retryLimits, i.play.choices.Float64())
 	i.view, i.others, i.since = make(map[cardamom.UpstreamID]*site.Upstream), nil, 0
+	i.limits = quota.NewBook()
 	i.missing, i.open = make(map[missingKey]time.Time), nil
 	if !i.play.without["early"] {
 		i.demand.OnStart(func(demand.Key) { i.exchangeSoon() })
@@ -111,13 +114,16 @@
 // exchange reports to the coordinator and takes over what changed.
 func (i *instance) exchange(now time.Time) {
 	i.lastExchange = now
-	report, since, starts := i.demand.Take(), i.since, i.starts
+	report, since, starts, limits := i.demand.Take(), i.since, i.starts, i.limits.Limits()
 	i.play.events.after(hop, func(now time.Time) {
 		changed, version, others := i.play.coordinator.exchange(i.number, report, since, now)
+		i.play.coordinator.limits.Merge(limits)
+		known := i.play.coordinator.limits.Limits()
 		i.play.events.after(hop, func(time.Time) {
 			if i.starts != starts {
 				return
 			}
+			i.limits.Merge(known)
 			i.since, i.others = version, others
 			i.learn(changed)
 		})
@@ -142,7 +148,7 @@
 		list = append(list, pick.Candidate{
 			ID: e.ID, Running: i.demand.Running(e.ID) + i.others[e.ID].Running, Limit: upstream.Slots, FailureRate: i.health.Rate(e.ID, now),
 			OtherFailures: i.others[e.ID].Failures, Suspended: i.health.Suspended(e.ID, now), SameDataCentre: true, Expected: i.pace.Expected(e.ID, now),
-			RecentTokens: i.pace.RecentTokens(e.ID, x.route.TargetGap, now), Avoided: x.avoided[e.ID],
+			RecentTokens: i.pace.RecentTokens(e.ID, x.route.TargetGap, now), Avoided: x.avoided[e.ID], RateLimited: !i.play.without["permits"] && i.limits.IsFresh(upstream, now),
 		})
 	}
 	return list
--- a/simul/play.go
+++ b/simul/play.go
@@ -39,9 +39,9 @@
 // Option changes a play.
 type Option func(p *play)
 
-// mechanisms are those that can be switched off: prompts held back, early exchanges, and
-// urgent requests first at engines.
-var mechanisms = []string{"hold", "early", "priority"}
+// mechanisms are those that can be switched off: prompts held back, early exchanges,
+// urgent requests first at engines, and permits for engines with a rate limit.
+var mechanisms = []string{"hold", "early", "priority", "permits"}
 
 // Mechanisms returns the names of the mechanisms that Without switches off.
 func Mechanisms() string { return strings.Join(mechanisms, ", ") }
@@ -236,10 +236,12 @@
 // scheduleFaults adds the faults.
 func (p *play) scheduleFaults(start time.Time) {
 	for _, f := range p.scenario.wire.Faults {
-		p.events.at(start.Add(ms(f.AtMS)), func(time.Time) {
+		p.events.at(start.Add(ms(f.AtMS)), func(now time.Time) {
 			switch f.Do {
 			case "restart":
 				p.restart(ms(f.ForMS))
+			case "limit":
+				p.nameLimit(f, now)
 			default:
 				for range max(f.Count, 1) {
 					p.lose(f)
@@ -257,6 +259,7 @@
 	p.events.after(downtime, func(now time.Time) {
 		planner := plan.New(p.spec, p.profile, false, now)
 		p.coordinator.planner, p.coordinator.waiting = planner, nil
+		p.coordinator.startLimits()
 		p.coordinator.sums, p.coordinator.reports = demand.NewSums(), make(map[int]demand.Report)
 		for _, e := range p.order {
 			p.coordinator.listed(e, 0)
--- a/simul/result.go
+++ b/simul/result.go
@@ -26,6 +26,9 @@
 	Kinds []*KindResult
 	// Windows are those of windowLength from the first request on.
 	Windows []*Window
+	// OverLimit is the greatest number of requests beyond what the rate limit of an engine
+	// allows within its window, 0 if there was none.
+	OverLimit float64
 }
 
 // Window is what the requests of a span of time got.
@@ -130,6 +133,6 @@
 	for _, w := range r.Windows {
 		shares = append(shares, fmt.Sprintf("%.2f", w.Share()))
 	}
-	_, err := fmt.Fprintf(out, "in target by %s: %s\n", windowLength, strings.Join(shares, " "))
+	_, err := fmt.Fprintf(out, "in target by %s: %s\nbeyond a rate limit: %.0f\n", windowLength, strings.Join(shares, " "), r.OverLimit)
 	return err
 }
--- a/simul/scenario.go
+++ b/simul/scenario.go
@@ -104,11 +104,14 @@
 type faultWire struct {
 	AtMS int64 `json:"at_ms"`
 	// Do is "crash" (engines lose what they hold and run, and return after ForMS),
-	// "leave" (engines drain and are gone), or "restart" (all instances lose their
-	// requests and what they learned, and are back after ForMS).
+	// "leave" (engines drain and are gone), "restart" (all instances lose their
+	// requests and what they learned, and are back after ForMS), or "limit" (engines name
+	// the rate limit PerSecond for ForMS).
 	Do    string `json:"do"`
 	Count int    `json:"count"`
 	ForMS int64  `json:"for_ms"`
+	// PerSecond is a rate limit in requests a second.
+	PerSecond float64 `json:"per_s"`
 }
 
 // Load reads a scenario file in JSON with comments.
--- a/simul/simul_test.go
+++ b/simul/simul_test.go
@@ -33,6 +33,9 @@
 	Without string  `json:"without"`
 	Compare string  `json:"compare"`
 	AtMost  float64 `json:"at_most"`
+	// OverLimit means that no engine may get more than its rate limit allows, and that one
+	// does without the mechanism.
+	OverLimit bool `json:"over_limit"`
 	// LostAtMost bounds the requests of the kinds that got no whole response.
 	LostAtMost *int `json:"lost_at_most"`
 	// RecoveredWithinMS after BackAtMS, RecoveredShare of the share in target before
@@ -86,7 +89,15 @@
 	}
 	for _, c := range checks {
 		It(c.Name, func() {
-			if c.Without != "" {
+			if c.OverLimit {
+				without, err := simul.Without(c.Without)
+				Expect(err).NotTo(HaveOccurred())
+				scenario := load(c.Scenario)
+				for n := range c.Seeds {
+					Expect(simul.Play(scenario, scenario.Seed()+n).OverLimit).To(BeZero(), "seed %d", scenario.Seed()+n)
+					Expect(simul.Play(scenario, scenario.Seed()+n, without).OverLimit).To(BeNumerically(">", 0), "seed %d", scenario.Seed()+n)
+				}
+			} else if c.Without != "" {
 				without, err := simul.Without(c.Without)
 				Expect(err).NotTo(HaveOccurred())
 				Expect(float64(c.count(c.Compare))).To(BeNumerically("<=", c.AtMost*float64(c.count(c.Compare, without))))
