Keep the queue of permits in one place, and permit runs that only the caller has listed

A call for an upstream that the coordinator hadn't listed was granted without being counted; the limit that the call brings counts now.

--- a/coord/permit.go
+++ b/coord/permit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -34,13 +33,6 @@
 	Wait time.Duration
 }
 
-// permitCall is a pending call for a permit.
-type permitCall struct {
-	quota.Waiting
-	until time.Time
-	reply chan *syncpb.PermitReply
-}
-
 // Permit asks the coordinator for a permit and returns when it is granted, when the
 // request would wait too long for it, or when the call's time is up.
 func (l *Loop) Permit(ctx context.Context, need PermitNeed) PermitResult {
@@ -73,61 +65,36 @@
 
 // permit grants a permit, or waits for one as long as the call may.
 func (l *Loop) permit(ctx context.Context, request *syncpb.PermitRequest) (*syncpb.PermitReply, error) {
-	c := &permitCall{reply: make(chan *syncpb.PermitReply, 1)}
-	id := cardamom.UpstreamID(request.GetLimit().GetUpstream())
+	replies := make(chan *syncpb.PermitReply, 1)
+	run := quota.Run{Upstream: cardamom.UpstreamID(request.GetLimit().GetUpstream()), StartedMs: request.GetLimit().GetBorn()}
+	call := &quota.Call{Answer: func(p quota.Permit) {
+		replies <- &syncpb.PermitReply{Coordinates: true, Granted: p.Granted, WaitMs: p.Wait.Milliseconds()}
+	}}
 	l.post(func(now time.Time) {
 		if l.term == nil {
-			c.reply <- &syncpb.PermitReply{}
+			replies <- &syncpb.PermitReply{}
 			return
 		}
 		l.logLimits(l.options.Limits.Merge([]quota.Limit{decodeLimit(request.GetLimit(), now)}), "member")
-		c.Urgency, c.Since = int(request.GetUrgency()), now.Add(-time.Duration(request.GetWaitedMs())*time.Millisecond)
-		c.until = now.Add(time.Duration(request.GetHoldMs()) * time.Millisecond)
-		l.term.permit(id, c, time.Duration(request.GetNeedMs())*time.Millisecond, now)
+		call.Waiting = quota.Waiting{Urgency: int(request.GetUrgency()), Since: now.Add(-time.Duration(request.GetWaitedMs()) * time.Millisecond)}
+		call.Until = now.Add(time.Duration(request.GetHoldMs()) * time.Millisecond)
+		l.term.permits.Ask(run, call, time.Duration(request.GetNeedMs())*time.Millisecond, now)
 	})
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetHoldMs())*time.Millisecond+answerTimeout)
 	defer cancel()
 	select {
-	case reply := <-c.reply:
+	case reply := <-replies:
 		return reply, nil
 	case <-ctx.Done():
 		l.post(func(time.Time) {
 			if l.term != nil {
-				l.term.permitCalls[id] = slices.DeleteFunc(l.term.permitCalls[id], func(other *permitCall) bool { return other == c })
+				l.term.permits.Withdraw(run, call)
 			}
 		})
 		return nil, ctx.Err()
 	}
 }
 
-// permit answers a call at once if it can be granted or would wait too long, and keeps
-// it waiting else.
-func (t *term) permit(id cardamom.UpstreamID, c *permitCall, need time.Duration, now time.Time) {
-	limit, ok := t.limit(id, now)
-	if !ok {
-		// The upstream names no limit any more.
-		c.reply <- &syncpb.PermitReply{Coordinates: true, Granted: true}
-		return
-	}
-	waiting := t.waitingFor(id)
-	wait := t.gate.Wait(limit, quota.Ahead(waiting, c.Waiting), now)
-	if wait > need {
-		c.reply <- &syncpb.PermitReply{Coordinates: true, WaitMs: wait.Milliseconds()}
-		return
-	}
-	t.permitCalls[id] = append(t.permitCalls[id], c)
-	t.grantPermits(id, now)
-}
-
-// limit returns the limit in force for a listed upstream.
-func (t *term) limit(id cardamom.UpstreamID, now time.Time) (quota.Limit, bool) {
-	upstream, ok := t.loop.state.upstreams[id]
-	if !ok {
-		return quota.Limit{}, false
-	}
-	return t.loop.options.Limits.Limit(upstream, now)
-}
-
 // recordLimit records the limit that the answer with an engine's report names. Without
 // one it states nothing: reports don't take part in the limit.
 func (t *term) recordLimit(id cardamom.UpstreamID, statement site.RateLimit, now time.Time) {
@@ -140,54 +107,6 @@
 	}
 }
 
-// waitingFor returns the requests that wait for a permit for an upstream.
-func (t *term) waitingFor(id cardamom.UpstreamID) []quota.Waiting {
-	waiting := make([]quota.Waiting, 0, len(t.permitCalls[id]))
-	for _, c := range t.permitCalls[id] {
-		waiting = append(waiting, c.Waiting)
-	}
-	return waiting
-}
-
-// answerPermitCalls grants the permits that there are and answers the calls whose time
-// is up. It reports whether any are still waiting.
-func (t *term) answerPermitCalls(now time.Time) bool {
-	for id := range t.permitCalls {
-		t.grantPermits(id, now)
-		limit, _ := t.limit(id, now)
-		left := t.permitCalls[id][:0]
-		for _, c := range t.permitCalls[id] {
-			if now.Before(c.until) {
-				left = append(left, c)
-				continue
-			}
-			c.reply <- &syncpb.PermitReply{Coordinates: true, WaitMs: t.gate.Wait(limit, len(left), now).Milliseconds()}
-		}
-		t.permitCalls[id] = left
-		if len(left) == 0 {
-			delete(t.permitCalls, id)
-		}
-	}
-	return len(t.permitCalls) > 0
-}
-
-// grantPermits grants the permits for an upstream that there are.
-func (t *term) grantPermits(id cardamom.UpstreamID, now time.Time) {
-	for len(t.permitCalls[id]) > 0 {
-		limit, ok := t.limit(id, now)
-		next := 0
-		if ok {
-			granted, oldest := t.gate.Grant(limit, now)
-			if !granted {
-				return
-			}
-			next = quota.Next(t.waitingFor(id), oldest)
-		}
-		t.permitCalls[id][next].reply <- &syncpb.PermitReply{Coordinates: true, Granted: true}
-		t.permitCalls[id] = slices.Delete(t.permitCalls[id], next, next+1)
-	}
-}
-
 // logLimits logs changes of rate limits that this instance did not see itself.
 func (l *Loop) logLimits(changes []quota.Change, origin string) {
 	for _, change := range changes {
@@ -204,18 +123,19 @@
 		}
 		return upstream.StartedMs, true
 	}, now)
-	if t := l.term; t != nil {
-		t.gate.Keep(func(id cardamom.UpstreamID) bool { _, ok := t.limit(id, now); return ok })
-		limits := make(map[cardamom.UpstreamID]float64)
-		for _, limit := range l.options.Limits.Limits() {
-			if !limit.Ended {
-				limits[limit.Upstream] = limit.PerSecond
-			}
-		}
-		for _, p := range t.plans {
-			p.SetRateLimits(limits)
+	if l.term == nil {
+		return
+	}
+	limits := make(map[cardamom.UpstreamID]float64)
+	for _, limit := range l.options.Limits.Limits() {
+		if !limit.Ended {
+			limits[limit.Upstream] = limit.PerSecond
 		}
 	}
+	l.term.permits.Keep(func(id cardamom.UpstreamID) bool { _, ok := limits[id]; return ok })
+	for _, p := range l.term.plans {
+		p.SetRateLimits(limits)
+	}
 }
 
 func encodeLimits(limits []quota.Limit, now time.Time) []*syncpb.UpstreamLimit {
--- a/coord/term.go
+++ b/coord/term.go
@@ -51,9 +51,8 @@
 	memberList     []Member
 	sums           *demand.Sums
 	awaitCalls     map[*awaitCall]bool
-	// gate grants the permits that permitCalls wait for, by upstream.
-	gate         *quota.Gate
-	permitCalls  map[cardamom.UpstreamID][]*permitCall
+	// permits has the calls for permits, for upstreams with a rate limit.
+	permits      *quota.Queue
 	ordersPaused bool
 	// lastStep is when the plans last decided on orders.
 	lastStep time.Time
@@ -105,7 +104,7 @@
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
 		sums: demand.NewSums(), awaitCalls: make(map[*awaitCall]bool),
-		gate: quota.NewGate(), permitCalls: make(map[cardamom.UpstreamID][]*permitCall),
+		permits: quota.NewQueue(l.options.Limits),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
@@ -120,10 +119,8 @@
 	for a := range l.term.awaitCalls {
 		a.reply <- &syncpb.AwaitReply{ExpectedMs: -1}
 	}
-	for _, calls := range l.term.permitCalls {
-		for _, c := range calls {
-			c.reply <- &syncpb.PermitReply{}
-		}
+	for _, c := range l.term.permits.Calls() {
+		c.Answer(quota.Permit{})
 	}
 	l.term = nil
 	l.position = position{}
@@ -239,7 +236,7 @@
 		t.publishPlan(p)
 	}
 	t.answerAwaitCalls(now)
-	return t.answerPermitCalls(now) || pending
+	return t.permits.Step(now) || pending
 }
 
 // adopt moves upstreams into a plan once the catalog shows that their service
--- a/quota/gate.go
+++ b/quota/gate.go
@@ -47,6 +47,11 @@
 // permitRate returns the permits per second under a limit.
 func permitRate(limit Limit) float64 { return max(limit.PerSecond, trialRate) }
 
+// Interval returns the time between two permits under a limit.
+func Interval(limit Limit) time.Duration {
+	return time.Duration(float64(time.Second) / permitRate(limit))
+}
+
 // bucket returns the permits for an upstream as of now.
 func (g *Gate) bucket(limit Limit, now time.Time) *bucket {
 	b, ok := g.buckets[limit.Upstream]
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -17,10 +17,6 @@
 	// noCoordinatorGrace is how long after its arrival a request is not refused because no
 	// coordinator answers.
 	noCoordinatorGrace = 250 * time.Millisecond
-	// minLimitedRetry and maxLimitedRetry bound the Retry-After of requests that a rate
-	// limit refuses.
-	minLimitedRetry = 200 * time.Millisecond
-	maxLimitedRetry = 10 * time.Second
 )
 
 // obtainPermit reports whether the request may be sent to the upstream: it has no rate
@@ -54,7 +50,7 @@
 		x.sleep(recheckInterval)
 	case !result.Answered:
 		s.Metrics.CountPermit("unanswered")
-		x.refuseLimited(upstream, limit, time.Duration(float64(time.Second)/max(limit.PerSecond, 1/maxLimitedRetry.Seconds())))
+		x.refuseLimited(upstream, limit, quota.Interval(limit))
 	case result.Wait > x.remaining(time.Now()):
 		s.Metrics.CountPermit("refused")
 		x.refuseLimited(upstream, limit, result.Wait)
@@ -90,7 +86,7 @@
 	}
 	x.log.Info("permit_refused", "request", x.info.ID, "upstream", upstream.ID, "limit", limit.PerSecond, "expected_ms", wait.Milliseconds())
 	x.markEnded()
-	x.giveUpFor("upstream_limited", min(max(wait, minLimitedRetry), maxLimitedRetry))
+	x.giveUpFor("upstream_limited", quota.RetryAfter(wait))
 }
 
 // recordLimit records what a response states of its upstream's rate limit. One that
