--- a/reqlog/reqlog_test.go
+++ b/reqlog/reqlog_test.go
@@ -44,6 +44,7 @@
 		Entry("refused although upstreams were free", "refused", "636b1377022d42b1"),
 		Entry("the connection to the upstream broke", "broken", "0a62b0e836138669"),
 		Entry("answered late, since it waited for a load of its model", "late", "5d35b4ee3771d503"),
+		Entry("refused, since its only upstream names a rate limit", "limited", "5b1f0a77c2d94e63"),
 	)
 
 	DescribeTable("skips and counts a line of text that is no log line", func(text string) {
