--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -140,4 +140,24 @@
 		Expect(first.Arrivals()).To(HaveLen(1))
 		Expect(w.permits.asked()).To(BeEmpty())
 	})
+
+	It("tries it again after a while, without waiting, to learn whether the limit has ended", func() {
+		w := newFixture(coord.AwaitResult{}, "i-2")
+		first := w.engines[0]
+		first.NameRateLimit("2")
+		for len(first.Arrivals()) == 0 {
+			_, _ = w.get("/safe/x", "")
+		}
+		first.NameRateLimit()
+		w.permits.results = []coord.PermitResult{{Answered: true, Wait: time.Hour}, {Answered: true, Granted: true}}
+		Eventually(func() int {
+			status, _ := w.get("/safe/x", "")
+			Expect(status).To(Equal(http.StatusOK))
+			return len(first.Arrivals())
+		}, 20*time.Second, 20*time.Millisecond).Should(Equal(2))
+		needs := w.permits.asked()
+		Expect(needs).To(HaveLen(2))
+		Expect(needs[0].RemainingTime).To(BeZero())
+		Expect(needs[1].RemainingTime).To(BeZero())
+	})
 })
