--- a/relay/limit.go
+++ b/relay/limit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/quota"
@@ -40,7 +41,7 @@
 	switch {
 	case result.Granted:
 		s.Metrics.CountPermit("granted")
-		return true
+		return x.isStillLive(upstream)
 	case trial:
 		s.Metrics.CountPermit("refused")
 	case !result.Answered && s.Alone.Allow(limit, len(s.Views.View().Members()), clock.Now()):
@@ -60,6 +61,12 @@
 	return false
 }
 
+// isStillLive reports whether an upstream may still get requests, after a wait.
+func (x *exchange) isStillLive(upstream *site.Upstream) bool {
+	current, ok := x.server.Views.View().Upstream(upstream.ID)
+	return ok && current.State == cardamom.Live && current.StartedMs == upstream.StartedMs
+}
+
 // awaitPermit asks for a permit and counts the time as waiting.
 func (x *exchange) awaitPermit(need coord.PermitNeed) coord.PermitResult {
 	s := x.server
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -20,12 +20,17 @@
 	mu      sync.Mutex
 	results []coord.PermitResult
 	needs   []coord.PermitNeed
+	// onAsk, unless nil, is called for each need before the answer.
+	onAsk func(need coord.PermitNeed)
 }
 
 func (p *permits) Permit(_ context.Context, need coord.PermitNeed) coord.PermitResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.needs = append(p.needs, need)
+	if p.onAsk != nil {
+		p.onAsk(need)
+	}
 	if len(p.results) == 0 {
 		return coord.PermitResult{}
 	}
@@ -141,6 +146,32 @@
 		Expect(w.permits.asked()).To(BeEmpty())
 	})
 
+	It("doesn't send to one that began to leave while the request waited for its permit", func() {
+		w := newFixture(coord.AwaitResult{}, "i-2")
+		w.permits.results = []coord.PermitResult{{Answered: true, Granted: true}}
+		plain := make(map[string]*host.Upstream)
+		for _, upstream := range []*host.Upstream{w.engines[0], w.engines[2]} {
+			plain[upstream.ID()] = upstream
+			upstream.NameRateLimit("2")
+			status, _ := w.get("/safe/x", "")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(upstream.Arrivals()).To(HaveLen(1))
+		}
+		left := ""
+		before := 0
+		w.permits.onAsk = func(need coord.PermitNeed) {
+			if left == "" {
+				left = string(need.Limit.Upstream)
+				before = len(plain[left].Arrivals())
+				w.leave(need.Limit.Upstream)
+			}
+		}
+		status, _ := w.get("/once/x", "")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(left).NotTo(BeEmpty())
+		Expect(plain[left].Arrivals()).To(HaveLen(before))
+	})
+
 	It("tries it again after a while, without waiting, to learn whether the limit has ended", func() {
 		w := newFixture(coord.AwaitResult{}, "i-2")
 		first := w.engines[0]
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -62,12 +62,12 @@
 	RetryAfter bool `json:"later"`
 }
 
-// views returns a view that does not change.
+// views returns a view that changes only if the test does it.
 type views struct {
-	view *coord.View
+	view atomic.Pointer[coord.View]
 }
 
-func (v views) View() *coord.View { return v.view }
+func (v *views) View() *coord.View { return v.view.Load() }
 
 // coordinator returns the same result for every need.
 type coordinator struct {
@@ -98,12 +98,16 @@
 	// permits grants the permits for upstreams with a rate limit.
 	permits *permits
 	pool    *conns.Pool
-	server  *httptest.Server
-	closing context.CancelFunc
+	views   *views
+	catalog *site.Catalog
+	// upstreams are those of the first view.
+	upstreams []*site.Upstream
+	server    *httptest.Server
+	closing   context.CancelFunc
 }
 
 func newFixture(result coord.AwaitResult, names ...string) *fixture {
-	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, pool: conns.New(nil)}
+	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, pool: conns.New(nil), views: &views{}}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -128,11 +132,13 @@
 		route("/safe/", site.Idempotent, "plain", false), route("/once/", site.NonIdempotent, "plain", false),
 		route("/stream/", site.Streaming, "models", false), route("/resume/", site.Streaming, "models", true),
 	}, []site.Service{{Name: "plain"}, {Name: "models", Engine: models}}, site.Limits{BodyBytes: 1000, HeaderBytes: 4000})
+	w.catalog, w.upstreams = catalog, upstreams
+	w.views.view.Store(coord.NewView(catalog, upstreams, nil))
 	closing, closeNow := context.WithCancel(context.Background())
 	w.closing = closeNow
 	DeferCleanup(closeNow)
 	server := relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Views: views{coord.NewView(catalog, upstreams, nil)}, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
+		Dialect: platform.Dialect{}, Views: w.views, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
 		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Limits: quota.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
@@ -142,6 +148,20 @@
 	return w
 }
 
+// leave makes the view list an upstream as leaving.
+func (w *fixture) leave(id cardamom.UpstreamID) {
+	var upstreams []*site.Upstream
+	for _, upstream := range w.upstreams {
+		if upstream.ID == id {
+			leaving := *upstream
+			leaving.State = cardamom.Leaving
+			upstream = &leaving
+		}
+		upstreams = append(upstreams, upstream)
+	}
+	w.views.view.Store(coord.NewView(w.catalog, upstreams, nil))
+}
+
 // script sets the behaviours; each request takes the next one, at any upstream.
 func (w *fixture) script(behaviours []host.Behaviour) {
 	for _, engine := range w.engines {
