--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,8 @@
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
+	// progress is how much of an answer the last send has got.
+	progress progress
 	// framing is how the end of the last response was marked.
 	framing conns.Framing
 	// tailBytes is the length of what followed the last whole event when the last
@@ -173,7 +175,7 @@
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, NonRepeatable: !x.route.Repeatable(),
 		Header: s.Dialect.ForwardHeader(endToEnd(x.r.Header), ForwardOptions{Upstream: upstream.ID, Remaining: time.Until(x.deadline()), LastEventID: lastEventID, StartPriority: x.route.Urgency()}),
 	}
-	x.lastUpstream, x.reportedReady = upstream.ID, false
+	x.lastUpstream, x.reportedReady, x.progress = upstream.ID, false, unanswered
 	x.firstEventWait = s.Pace.Sent(x.service, upstream.ID, x.info.PromptTokens, now)
 	defer func() { x.firstEventWait.Ended(time.Now()) }()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
@@ -259,7 +261,7 @@
 	s.Demand.Failed(upstream.ID)
 	x.avoid(upstream.ID)
 	x.recordDeath(upstream)
-	x.log.Info("broken", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "sent_ms", now.Sub(sent).Milliseconds(), "runs", x.runs, "reason", err)
+	x.log.Info("broken", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "sent_ms", now.Sub(sent).Milliseconds(), "runs", x.runs, "parts", x.loggedParts(), "progress", x.progress, "reason", err)
 	if x.mayRetry() {
 		return true
 	}
@@ -290,7 +292,7 @@
 func (x *exchange) recordDeath(upstream *site.Upstream) {
 	if x.ctx.Err() == nil && !conns.Reachable(x.ctx, upstream.Address) {
 		x.server.Ledger.RecordDeath(x.fingerprint, string(upstream.ID)+"/"+time.UnixMilli(upstream.StartedMs).UTC().Format(time.RFC3339Nano), time.Now())
-		x.log.Warn("upstream_died", "request", x.info.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint)
+		x.log.Warn("upstream_died", "request", x.info.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint, "parts", x.loggedParts(), "progress", x.progress)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,9 @@
 	PromptTokens int
 	// SharedPrefix identifies the part of the prompt that other requests may share.
 	SharedPrefix string
+	// SharedParts are the identifiers of the parts that SharedPrefix consists of, from
+	// the start of the prompt on.
+	SharedParts []string
 	// LastEventID is the id of the last stream event that the caller received.
 	LastEventID string
 }
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -70,6 +70,7 @@
 		response.Discard()
 		x.abort("not_resumed")
 	}
+	x.progress = answerBegun
 	if x.route.Kind == site.Streaming && status < http.StatusMultipleChoices {
 		return x.forwardStream(upstream, response)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -73,7 +73,7 @@
 				return false
 			}
 			partial = append(partial[:0], partial[end:]...)
-			rest.hasEvents = true
+			rest.hasEvents, x.progress = true, hasEvents
 			flusher.Flush()
 			x.delivery.written(read, time.Now())
 			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
@@ -135,7 +135,7 @@
 	x.server.Demand.Failed(upstream.ID)
 	x.avoid(upstream.ID)
 	x.recordDeath(upstream)
-	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "reason", err)
+	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "parts", x.loggedParts(), "progress", x.progress, "reason", err)
 	if x.mayResume() {
 		return true
 	}
