Test that late requests and retries stay within the retry budget; two cases fail

114 retries of 58 allowed after a burst whose requests were read 2 s late and whose retries arrive 2.5 s late, 166 of 149 when the load falls to a tenth.

--- a/retry/windows_test.go
+++ b/retry/windows_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +40,10 @@
 	StartAgain int `json:"start_again"`
 	// Retrying means that each instance sends all the retries that it may.
 	Retrying *bool `json:"retrying"`
+	// RequestDelayS is how long after their callers sent them instances read requests.
+	RequestDelayS *float64 `json:"request_delay_s"`
+	// RetryDelayS is how long after they were sent retries reach upstreams.
+	RetryDelayS *float64 `json:"retry_delay_s"`
 }
 
 // group plays a script.
@@ -53,8 +58,15 @@
 	retrying  bool
 	due       float64
 	next      int
-	requests  []time.Time
-	retries   []time.Time
+	// requestDelay and retryDelay are the delays at present, unread the requests that
+	// callers have sent and instances have not read.
+	requestDelay time.Duration
+	retryDelay   time.Duration
+	unread       []delayedEvent
+	// requests are the times at which callers sent them, retries those at which they
+	// reached upstreams.
+	requests []time.Time
+	retries  []time.Time
 }
 
 // process is one run of an instance.
@@ -82,6 +94,12 @@
 	if step.Retrying != nil {
 		g.retrying = *step.Retrying
 	}
+	if step.RequestDelayS != nil {
+		g.requestDelay = time.Duration(*step.RequestDelayS * float64(time.Second))
+	}
+	if step.RetryDelayS != nil {
+		g.retryDelay = time.Duration(*step.RetryDelayS * float64(time.Second))
+	}
 	order := make([]int, len(g.processes))
 	for i := range order {
 		order[i] = i
@@ -100,15 +118,22 @@
 	g.due += g.rate * tick.Seconds()
 	for ; g.due >= 1; g.due-- {
 		g.next++
-		g.processes[g.first+g.next%(g.last-g.first)].budget.CountRequest("s", now)
+		g.unread = append(g.unread, delayedEvent{now.Add(g.requestDelay), g.first + g.next%(g.last-g.first)})
 		g.requests = append(g.requests, now)
 	}
+	g.unread = slices.DeleteFunc(g.unread, func(e delayedEvent) bool {
+		if e.received.After(now) {
+			return false
+		}
+		g.processes[e.instance].budget.CountRequest("s", now)
+		return true
+	})
 	if !g.retrying {
 		return
 	}
 	for _, p := range g.processes[g.first:g.last] {
 		for p.budget.AllowRetry("s", now).Allowed {
-			g.retries = append(g.retries, now)
+			g.retries = append(g.retries, now.Add(g.retryDelay))
 		}
 	}
 }
