Let credit for retries expire after half a window, so that late ones stay within the budget

What callers saw: nothing; upstreams in trouble got more repeated sends within a window than the budget allows.

Cause: credit was spent up to a window after an instance had read the request that earned it. The budget counts a request when its caller sent it and a retry when it reaches its upstream, so requests that were read late and retries that arrived late fell into windows whose requests had not earned them. The tenths of the constant part that were kept back cover 16 sends, and no part of what requests earn.

Why this works: what arrives in a window was sent at most 2.5 s before it and earned at most 5 s before that by requests sent at most 2 s earlier, so it was earned in the window or the one before.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,9 +2,11 @@
 // all instances together stay within a common retry budget.
 //
 // Each request and each moment earns an instance some credit, which it spends on
-// retries and which expires after a window. A process begins without credit. So the
-// retries of a window were earned in that window or the one before it, each credit
-// once, whichever instances got the requests and however often they started again.
+// retries and which expires after half a window. A process begins without credit. So the
+// retries that reach upstreams in a window were earned by requests that callers sent in
+// that window or the one before it, each credit once, whichever instances got the
+// requests and however often they started again. The other half of the window is for
+// requests that instances read late and retries that reach upstreams late.
 //
 // # Usage
 //
@@ -26,6 +28,10 @@
 	// windowsEarned is the number of windows in which the retries of one window are
 	// earned. Each of them has as many requests as the budget counts, or fewer.
 	windowsEarned = 2
+	// lifetimesPerWindow is how many times the lifetime of credit fits in a window. Callers
+	// leave when a request isn't read for 2 s, and connections fail when bytes aren't
+	// acknowledged for 2.5 s: the two together are less than the rest of a window of 10 s.
+	lifetimesPerWindow = 2
 	// slackShare is the fraction of the slack that is used; the rest covers requests
 	// that reach an instance late.
 	slackShare = 0.7
@@ -174,7 +180,7 @@
 	for !from.IsZero() && from.Before(now) {
 		bucket := b.bucket(from)
 		b.slack.advance(bucket)
-		b.members.advance(bucket)
+		b.members.advance(b.membersBucket(from))
 		b.members.raise(float64(b.current))
 		end := time.Unix(0, (bucket+1)*b.bucketLength())
 		if end.After(now) {
@@ -189,13 +195,19 @@
 		from = end
 	}
 	b.slack.advance(b.bucket(now))
-	b.members.advance(b.bucket(now))
+	b.members.advance(b.membersBucket(now))
 	if !b.accrued.IsZero() && now.After(b.accrued) {
 		b.accrued = now
 	}
 }
 
-func (b *Budget) bucketLength() int64 { return int64(b.limits.Window) / buckets }
+func (b *Budget) bucketLength() int64 { return int64(b.limits.Window) / lifetimesPerWindow / buckets }
 
-// bucket returns the number of the bucket, since the epoch, that a time is in.
+// bucket returns the number of the bucket of credit, since the epoch, that a time is in.
 func (b *Budget) bucket(now time.Time) int64 { return now.UnixNano() / b.bucketLength() }
+
+// membersBucket returns the number of the bucket of members that a time is in: these
+// cover a whole window.
+func (b *Budget) membersBucket(now time.Time) int64 {
+	return now.UnixNano() / (int64(b.limits.Window) / buckets)
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -2,10 +2,10 @@
 
 import "iter"
 
-// buckets is the number of buckets that a window is divided into.
+// buckets is the number of buckets that a window holds.
 const buckets = 10
 
-// window holds a value for each bucket of the last window.
+// window holds a value for each of the last buckets.
 type window struct {
 	values [buckets]float64
 	// bucket is the number of the current bucket since the epoch.
