--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -80,6 +80,9 @@
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
 		behaviour = Misdirected
 	}
+	if behaviour == Answer && hasSharedPart(r.Header.Get("Prompt-Prefix"), u.crashing) {
+		behaviour = Crash
+	}
 	if behaviour != Full && behaviour != EndlessRefusal && behaviour != StalledRefusal && behaviour != Misdirected && behaviour != UnmarkedRefusal {
 		u.runs = append(u.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	}
@@ -94,6 +97,13 @@
 	switch behaviour {
 	case CloseEarly:
 		panic(http.ErrAbortHandler)
+	case Crash:
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Server-Seal", "seal."+u.spec.ID)
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		u.crash()
+		panic(http.ErrAbortHandler)
 	case Hang:
 		select {
 		case <-u.closed:
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -76,6 +76,8 @@
 	Misdirected Behaviour = "misdirected"
 	// Hang runs the request and never answers.
 	Hang Behaviour = "hang"
+	// Crash begins to answer the request, and the upstream's process ends.
+	Crash Behaviour = "crash"
 )
 
 // streamEvents is how many events a stream has.
@@ -152,6 +154,9 @@
 	overfullLoads int
 	disconnects   int
 	drainingSince time.Time
+	// crashing are the parts of prompts that crash the upstream.
+	crashing []string
+	crashes  int
 }
 
 // NewUpstream starts an upstream and registers it in the store unless that is nil.
