Refuse prompts with a part that crashed three upstreams

Sound requests of the same routes were broken off, refused, or waited for models.

Cause: only whole requests were known to crash upstreams, and no two requests with the part are alike. Each was even sent to a second engine where its stream may be resumed.

Evidence: in all 16 ends of engines of which there are logs, one or two requests had got the header of an answer and no event; the others had got events, or nothing.

Why this works: a death counts against all parts of those requests that had not survived the beginning of an answer, and each request that gets an event clears its parts. So the part that crashes engines collects deaths, and a part that sound prompts share is cleared within moments. After three deaths, each of a request sent after the one before, prompts with it are refused at once. A suspected part is sent once at a time by an instance, to the engine with the fewest requests, and not repeated. Instances tell each other within an exchange, directly while there is no coordinator, and the lease row keeps it over a start of all. Two parts with the same deaths are refused only together. A wrong verdict ends with the first request that survives; two are let through for it, after 5 and 25 minutes. A request that had got events isn't blamed as a whole any more either.

--- a/conns/socket.go
+++ b/conns/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -46,13 +47,29 @@
 	return err == nil && open
 }
 
-// Reachable reports whether a TCP connection to the address can be opened.
-func Reachable(ctx context.Context, address string) bool {
+// State is what an address shows of the process that listens there.
+type State uint8
+
+const (
+	// Listening means that a connection can be opened.
+	Listening State = iota + 1
+	// Refusing means that the host answers and no process listens.
+	Refusing
+	// Silent means that nothing answers.
+	Silent
+)
+
+// Probe opens a TCP connection to the address to find out whether a process listens.
+func Probe(ctx context.Context, address string) State {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return Listening
+	case errors.Is(err, unix.ECONNREFUSED):
+		return Refusing
+	default:
+		return Silent
 	}
-	_ = c.Close()
-	return true
 }
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -143,7 +143,7 @@
 // report returns the request of an exchange.
 func (l *Loop) report(report demand.Report) *syncpb.ExchangeRequest {
 	request := &syncpb.ExchangeRequest{
-		Member: encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving, Weak: l.weak()}})[0],
+		Member: l.wireMember(),
 		Tenure: l.position.term, Change: l.position.change, Members: l.position.members,
 		Suspects: encodeSuspects(l.state.ledger.Suspects(time.Now())),
 	}
@@ -152,6 +152,7 @@
 	}
 	request.NeedDocument = l.needDocument
 	request.Limits = encodeLimits(l.options.Limits.Limits(), clock.Now())
+	request.Parts = l.partsFor(l.lastAnswered, clock.Now())
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
 			Service: string(key.Service), Model: string(key.Model), Arrivals: int32(m.Arrivals), Waiting: int32(m.Waiting), Running: int32(m.Running), Tokens: int64(m.Tokens),
@@ -167,6 +168,11 @@
 	return request
 }
 
+// wireMember returns this instance as a member.
+func (l *Loop) wireMember() *syncpb.Member {
+	return encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving, Weak: l.weak()}})[0]
+}
+
 // handleExchangeReply handles the result of an exchange.
 func (l *Loop) handleExchangeReply(address string, reply *syncpb.ExchangeReply, err error, began, now time.Time) {
 	if err != nil {
@@ -177,6 +183,7 @@
 		}
 		return
 	}
+	l.mergeParts(reply.GetParts(), "coordinator", began)
 	if !reply.GetCoordinates() {
 		followed := l.position.coordinator == address
 		l.position = position{}
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -54,6 +54,7 @@
 	// all instances may start again at once, and would let each of them crash further
 	// upstreams.
 	Suspects []wireSuspect `json:"suspects,omitempty"`
+	Parts    []wirePart    `json:"parts,omitempty"`
 }
 
 // wireSuspect is a request that upstreams died of.
@@ -83,6 +84,7 @@
 	}
 	if l.term == nil {
 		l.state.ledger.Merge(decodeStoredSuspects(wire.Suspects, time.Now()), time.Now())
+		l.mergeStoredParts(wire.Parts)
 	}
 	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed, Incarnation: wire.Incarnation}
 }
@@ -92,7 +94,10 @@
 	for service, known := range l.state.storeConcurrency {
 		concurrency[string(service)] = wireConcurrency{known.Loads, known.LimitReached}
 	}
-	value, err := json.Marshal(wireLease{Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now()))})
+	value, err := json.Marshal(wireLease{
+		Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now())),
+		Parts: encodeStoredParts(l.options.Parts.Evidence(clock.Now()), clock.Now()),
+	})
 	if err != nil {
 		return nil
 	}
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -71,6 +71,7 @@
 	Profiles  Profiles
 	Demand    *demand.Counter
 	Ledger    *poison.Ledger
+	Parts     *poison.Parts
 	Limits    *quota.Book
 	Logger    hclog.Logger
 }
@@ -103,6 +104,8 @@
 	lastExchange time.Time
 	// reportSoon means that the next exchange need not wait for its interval.
 	reportSoon bool
+	// partsNews means that this instance has news of parts that it has told no member.
+	partsNews bool
 	// lastAnswered is when the last exchange that a coordinator answered began.
 	lastAnswered time.Time
 	position     position
@@ -144,6 +147,7 @@
 		lease: lease.New(options.ID, options.LeaseDuration), peers: newPeers(), ctx: context.Background(),
 	}
 	options.Demand.OnStart(l.requestStarted)
+	options.Parts.OnChange(l.partsChanged)
 	return l
 }
 
@@ -202,6 +206,8 @@
 func (l *Loop) step(now time.Time) time.Duration {
 	l.stepLease(now)
 	l.stepExchange(now)
+	l.tellMembers(now)
+	l.options.Parts.AllowTrials(l.term != nil)
 	wait := tickInterval
 	if t := l.term; t != nil {
 		if now.Sub(t.lastStep) >= pendingTickInterval {
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -50,18 +50,20 @@
 // exchange records a member's report and returns what changed since its last
 // exchange, or the coordinator's address if this instance does not coordinate.
 func (l *Loop) exchange(request *syncpb.ExchangeRequest, now time.Time) *syncpb.ExchangeReply {
+	l.mergeParts(request.GetParts(), "member", now)
 	t := l.term
 	if t == nil {
 		_, address := l.lease.Holder()
 		if l.position.coordinator != "" && l.hasCoordinator(now) {
 			address = l.position.coordinator
 		}
-		return &syncpb.ExchangeReply{Coordinator: address}
+		return &syncpb.ExchangeReply{Coordinator: address, Parts: encodeParts(l.options.Parts.Evidence(now), now)}
 	}
+	parts := l.partsFor(t.lastExchange(cardamom.InstanceID(request.GetMember().GetInstance())), now)
 	t.recordReport(request, now)
 	l.logLimits(l.options.Limits.Merge(decodeLimits(request.GetLimits(), now)), "member")
 	reply := &syncpb.ExchangeReply{
-		Coordinates: true, Tenure: t.number, Change: t.change,
+		Coordinates: true, Tenure: t.number, Change: t.change, Parts: parts,
 		UpstreamsAgeMs: now.Sub(l.state.upstreamsConfirmed).Milliseconds(), CatalogAgeMs: now.Sub(l.state.catalogConfirmed).Milliseconds(),
 	}
 	if l.state.catalog != nil {
--- a/coord/term.go
+++ b/coord/term.go
@@ -88,6 +88,14 @@
 	report       demand.Report
 }
 
+// lastExchange returns when a member last exchanged, zero if it is new.
+func (t *term) lastExchange(id cardamom.InstanceID) time.Time {
+	if m, ok := t.members[id]; ok {
+		return m.lastExchange
+	}
+	return time.Time{}
+}
+
 // awaitCall is a pending call that waits for a model or adapter.
 type awaitCall struct {
 	service cardamom.ServiceID
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -28,8 +28,9 @@
 	store := provideStore(settings, logger)
 	counter := demand.New()
 	ledger := poison.New()
+	parts := poison.NewParts()
 	book := quota.NewBook()
-	options := provideOptions(settings, store, counter, ledger, book, logger)
+	options := provideOptions(settings, store, counter, ledger, parts, book, logger)
 	loop := coord.New(options)
 	tally := metric.New()
 	pool := providePool(tally)
@@ -38,7 +39,7 @@
 	paceTracker := pace.New()
 	budget := provideBudget(settings)
 	frontShutdownState := newShutdownState()
-	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, book, tally, frontShutdownState, logger)
-	instance := New(settings, loop, pool, server, book, tally, frontShutdownState, logger)
+	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, tally, frontShutdownState, logger)
+	instance := New(settings, loop, pool, server, parts, book, tally, frontShutdownState, logger)
 	return instance
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -76,6 +76,11 @@
 	t.Add(fmt.Sprintf("rate_limit_changes_total{change=%q}", change), 1)
 }
 
+// CountPartVerdict counts a change of the verdict on a part of prompts.
+func (t *Tally) CountPartVerdict(refused bool) {
+	t.Add(fmt.Sprintf("part_verdicts_total{refused=%q}", strconv.FormatBool(refused)), 1)
+}
+
 // CountLate counts a response that missed its targets by kind and cause.
 func (t *Tally) CountLate(kind, cause string) {
 	t.Add(fmt.Sprintf("late_total{kind=%q,cause=%q}", kind, cause), 1)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,15 +1,26 @@
-// Package poison refuses requests that crash the upstreams that run them.
+// Package poison refuses requests that crash the upstreams that run them: single requests,
+// by their fingerprint, and all prompts with a part.
 //
 // A fingerprint, a hash of a request's model and body, is suspected when an upstream
 // died while running a request with it. A suspected request runs on an upstream that runs no other suspected
 // request, so that the next death has a single suspect. A fingerprint with two
 // deaths is refused until its record expires.
 //
+// A shared part of prompts is suspected when an upstream died before a request with the
+// part got the first event of its answer, and refused after three such deaths. A request
+// that gets an event clears all parts of its prompt. So a part that sound prompts share is
+// cleared all the time, though it stands in prompts that crash upstreams.
+//
 // # Usage
 //
 //	ledger := poison.New()
 //	ledger.RecordDeath(fingerprint, "runner-3/17", now)
 //	if ledger.Verdict(fingerprint, now) == poison.Refused { ... }
+//
+//	parts := poison.NewParts()
+//	parts.Survived("muse-models", []string{"5c1e07a2"}, now)
+//	parts.Died("muse-models", []string{"5c1e07a2", "91bd3f06"}, poison.NewDeath("runner-3/17", sent, now, true), now)
+//	if verdict, part := parts.Verdict("muse-models", request.SharedParts, now); verdict == poison.Refused { ... }
 package poison
 
 import (
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,12 @@
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
+	// refusedPart is the part of the prompt for which the request was refused.
+	refusedPart string
+	// triesPart is a refused part for which the request was let through as a trial.
+	triesPart string
+	// sentAt is when the last send began.
+	sentAt time.Time
 	// progress is how much of an answer the last send has got.
 	progress progress
 	// framing is how the end of the last response was marked.
@@ -103,6 +109,11 @@
 		return x.mayContinue()
 	}
 	defer release()
+	admitted, end := x.admitParts()
+	if !admitted {
+		return x.mayContinue()
+	}
+	defer end()
 	now := time.Now()
 	if x.sends > 0 && !x.allowRetry(upstream) {
 		x.giveUp("retry_budget")
@@ -175,7 +186,7 @@
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, NonRepeatable: !x.route.Repeatable(),
 		Header: s.Dialect.ForwardHeader(endToEnd(x.r.Header), ForwardOptions{Upstream: upstream.ID, Remaining: time.Until(x.deadline()), LastEventID: lastEventID, StartPriority: x.route.Urgency()}),
 	}
-	x.lastUpstream, x.reportedReady, x.progress = upstream.ID, false, unanswered
+	x.lastUpstream, x.reportedReady, x.progress, x.sentAt = upstream.ID, false, unanswered, clock.Now()
 	x.firstEventWait = s.Pace.Sent(x.service, upstream.ID, x.info.PromptTokens, now)
 	defer func() { x.firstEventWait.Ended(time.Now()) }()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
@@ -272,7 +283,7 @@
 // mayRetry reports whether a request that may have run may be sent again.
 func (x *exchange) mayRetry() bool {
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && !x.headerSent &&
-		x.server.Ledger.Verdict(x.fingerprint, time.Now()) != poison.Refused
+		x.server.Ledger.Verdict(x.fingerprint, time.Now()) != poison.Refused && x.hasCleanParts()
 }
 
 // giveUp ends a request that gets no further attempt.
@@ -287,15 +298,6 @@
 	x.refuse(reason, wait)
 }
 
-// recordDeath records the request's fingerprint with an upstream that died while
-// running it.
-func (x *exchange) recordDeath(upstream *site.Upstream) {
-	if x.ctx.Err() == nil && !conns.Reachable(x.ctx, upstream.Address) {
-		x.server.Ledger.RecordDeath(x.fingerprint, string(upstream.ID)+"/"+time.UnixMilli(upstream.StartedMs).UTC().Format(time.RFC3339Nano), time.Now())
-		x.log.Warn("upstream_died", "request", x.info.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint, "parts", x.loggedParts(), "progress", x.progress)
-	}
-}
-
 // avoid marks an upstream as one to use only if there is no other.
 func (x *exchange) avoid(id cardamom.UpstreamID) {
 	if x.avoided == nil {
--- a/relay/find.go
+++ b/relay/find.go
@@ -103,6 +103,7 @@
 	view := s.Views.View()
 	now := time.Now()
 	found := x.candidates(view, now)
+	found.usable = x.leastBusy(found.usable)
 	choice := pick.Choose(pick.Request{
 		Prefix: x.info.SharedPrefix, Tokens: x.info.PromptTokens, Window: x.window(),
 		Age: now.Sub(x.arrived), Target: x.route.TargetLatency, Remaining: x.remaining(now),
--- a/relay/progress.go
+++ b/relay/progress.go
@@ -10,7 +10,7 @@
 	unanswered progress = iota
 	// answerBegun means that the header came.
 	answerBegun
-	// hasEvents means that a whole event of the stream came.
+	// hasEvents means that a whole event of the stream came, or the whole answer.
 	hasEvents
 )
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -121,6 +121,8 @@
 	CountPermit(answer string)
 	// CountRateLimit counts a change of the rate limit of an upstream.
 	CountRateLimit(change string)
+	// CountPartVerdict counts a change of the verdict on a part of prompts.
+	CountPartVerdict(refused bool)
 	// CountLate counts a response that missed its route's targets.
 	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
@@ -138,6 +140,7 @@
 	Pace       *pace.Tracker
 	Budget     *retry.Budget
 	Ledger     *poison.Ledger
+	Parts      *poison.Parts
 	Limits     *quota.Book
 	Permits    Permits
 	// Alone permits requests to upstreams with a rate limit while no coordinator
@@ -279,6 +282,9 @@
 		x.refuse("crashes_upstreams", 0)
 		return
 	}
+	if x.refusePart() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline())
 	defer cancel()
 	x.ctx = ctx
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -89,6 +89,8 @@
 		x.runs--
 		return x.handleBroken(upstream, err, x.arrived)
 	}
+	x.progress = hasEvents
+	x.survived()
 	x.copyHeader(response)
 	if len(body) <= maxBufferedBytes {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -204,7 +206,7 @@
 	}
 	x.log.Info("request_ended", "request", x.info.ID, "outcome", outcome, "reason", reason, "status", status, "route", name,
 		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "held_ms", x.held.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
-		"framing", x.framing, "last_event", x.lastEventID, "tail_bytes", x.tailBytes,
+		"part", x.refusedPart, "framing", x.framing, "last_event", x.lastEventID, "tail_bytes", x.tailBytes,
 		"gap_ms", x.delivery.longestGap.Milliseconds(), "relay_ms", x.delivery.longestRelay.Milliseconds(), "late", late != "", "late_by", late,
 		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -73,7 +73,10 @@
 				return false
 			}
 			partial = append(partial[:0], partial[end:]...)
-			rest.hasEvents, x.progress = true, hasEvents
+			if !rest.hasEvents {
+				rest.hasEvents, x.progress = true, hasEvents
+				x.survived()
+			}
 			flusher.Flush()
 			x.delivery.written(read, time.Now())
 			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
@@ -151,7 +154,7 @@
 // event, or begin it if the caller has none. Events without an id can't be continued:
 // they would come twice.
 func (x *exchange) mayResume() bool {
-	return x.route.Resumable && x.runs < x.route.MaxAttempts && (!x.headerSent || x.lastEventID != "")
+	return x.route.Resumable && x.runs < x.route.MaxAttempts && (!x.headerSent || x.lastEventID != "") && x.hasCleanParts()
 }
 
 // blankLines are the ends of an event: two line ends of any kind in a row.
