--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -147,7 +147,7 @@
 	switch {
 	case e.proven() && points >= provenRefusalPoints && others >= provenOthers, !e.proven() && points >= refusalPoints:
 		return Refused
-	case e.proven() && points > begunPoints, !e.proven() && points > 0:
+	case e.proven() && points > begunPoints, !e.proven() && points >= begunPoints:
 		return Suspected
 	default:
 		return Clean
