--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,12 +49,14 @@
 
 // soakWire is the result of a series of soaks.
 type soakWire struct {
-	Seeds      int            `json:"seeds"`
-	Requests   int            `json:"requests"`
-	Outcomes   map[string]int `json:"outcomes"`
-	Faults     map[string]int `json:"faults"`
-	Violations []string       `json:"violations"`
-	NotStarted []string       `json:"not_started"`
+	Seeds    int            `json:"seeds"`
+	Requests int            `json:"requests"`
+	Outcomes map[string]int `json:"outcomes"`
+	Faults   map[string]int `json:"faults"`
+	// Crashes is how many engines each part of prompts crashed.
+	Crashes    []int    `json:"crashes,omitempty"`
+	Violations []string `json:"violations"`
+	NotStarted []string `json:"not_started"`
 }
 
 func soakCommand() *cobra.Command {
@@ -155,6 +158,13 @@
 	// disturbed are the faults of instances by their entry address.
 	disturbed map[string][]*interval
 	limits    []*namedLimit
+	// parts are the parts of prompts that crash engines. partCallers are the callers that send
+	// them until partCtx ends.
+	parts       []string
+	partCallers sync.WaitGroup
+	partCtx     context.Context
+	// prompts means that sound requests list the parts of their prompts.
+	prompts bool
 }
 
 // sentRequest is a request and its response as the caller saw them.
@@ -167,6 +177,8 @@
 	began    time.Time
 	ended    time.Time
 	answered bool
+	// part is the part of the prompt that crashes engines, empty for a sound request.
+	part string
 }
 
 // soakRun describes one soak.
@@ -211,6 +223,8 @@
 	defer s.storeLink.Close()
 	callers, stop := context.WithCancel(ctx)
 	defer stop()
+	s.partCtx = callers
+	s.prompts = slices.ContainsFunc(run.faults, func(fault soakFault) bool { return fault.name == "crashing_part" })
 	var group sync.WaitGroup
 	for n := range soakCallers {
 		group.Add(1)
@@ -234,6 +248,7 @@
 	s.ended = time.Now()
 	stop()
 	group.Wait()
+	s.partCallers.Wait()
 	s.check()
 }
 
@@ -297,6 +312,9 @@
 		request.Body = "body of " + request.ID
 		if kind == "/stream/" || kind == "/resume/" {
 			request.Model = soakModels[random.IntN(len(soakModels))]
+			if s.prompts {
+				request.Prefix = soundPrefix(caller, n)
+			}
 		}
 		e := &sentRequest{kind: kind, address: address, body: request.Body, began: time.Now()}
 		s.mu.Lock()
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -50,6 +50,7 @@
 	s.checkOrders()
 	s.checkLimits()
 	s.checkBudget()
+	s.checkParts()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
@@ -107,7 +108,7 @@
 func (s *soak) checkServed() {
 	sent, served := 0, 0
 	for _, e := range s.sent {
-		if age := s.ended.Sub(e.began); age <= 0 || age > soakServedTime {
+		if age := s.ended.Sub(e.began); age <= 0 || age > soakServedTime || e.part != "" {
 			continue
 		}
 		sent++
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -28,6 +28,7 @@
 	{"all_killed_store_restored", killAllAndRestore},
 	{"rate_limit", nameLimit},
 	{"all_failing", failEverywhere},
+	{"crashing_part", crashOnPart},
 }
 
 // soakFaults are the faults of a soak unless names are given.
@@ -161,7 +162,7 @@
 	defer s.mu.Unlock()
 	var live []*host.Upstream
 	for _, upstream := range s.site.Upstreams {
-		if upstream.DrainingSince().IsZero() {
+		if upstream.DrainingSince().IsZero() && upstream.Crashes() == 0 {
 			live = append(live, upstream)
 		}
 	}
--- a/cmd/cardload/soak_limit.go
+++ b/cmd/cardload/soak_limit.go
@@ -117,12 +117,7 @@
 	if told.IsZero() || at.Sub(told) < soakTellTime {
 		return false
 	}
-	for _, fault := range s.disturbed[address] {
-		if !fault.from.After(at) && (fault.to.IsZero() || at.Sub(fault.to) < soakDisturbTime) {
-			return false
-		}
-	}
-	return true
+	return !s.isDisturbed(address, at)
 }
 
 // checkBudget checks that no service got more repeated sends than the retry budget
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -80,9 +80,13 @@
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
 		behaviour = Misdirected
 	}
-	if behaviour == Answer && hasSharedPart(r.Header.Get("Prompt-Prefix"), u.crashing) {
+	part := sharedPartOf(r.Header.Get("Prompt-Prefix"), u.crashing)
+	if behaviour == Answer && part != "" {
 		behaviour = Crash
 	}
+	if behaviour == Crash {
+		u.crashes, u.crashedAt = append(u.crashes, part), time.Now()
+	}
 	if behaviour != Full && behaviour != EndlessRefusal && behaviour != StalledRefusal && behaviour != Misdirected && behaviour != UnmarkedRefusal {
 		u.runs = append(u.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	}
--- a/fakes/host/crash.go
+++ b/fakes/host/crash.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // CrashOn makes the upstream crash each time it begins to write an answer to a prompt
@@ -17,26 +18,42 @@
 func (u *Upstream) Crashes() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.crashes
+	return len(u.crashes)
+}
+
+// Crashed reports whether the upstream has crashed, and when.
+func (u *Upstream) Crashed() (time.Time, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashedAt, len(u.crashes) > 0
+}
+
+// CrashedOn reports whether the upstream has crashed on a part, and when it crashed last.
+func (u *Upstream) CrashedOn(part string) (time.Time, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashedAt, slices.Contains(u.crashes, part)
 }
 
 // crash ends the upstream as its process would: no new connection is accepted before the
 // open ones break.
 func (u *Upstream) crash() {
-	u.mu.Lock()
-	u.crashes++
-	u.mu.Unlock()
 	_ = u.server.Listener.Close()
+	if u.link != nil {
+		_ = u.link.listener.Close()
+	}
 	go u.Close()
 	<-u.closed
 }
 
-// hasSharedPart reports whether a prompt, as its header lists its parts, has one of the
-// given ones before its last part.
-func hasSharedPart(prefix string, parts []string) bool {
+// sharedPartOf returns the first of the parts of a prompt, as its header lists them, that
+// is among the given ones and not the prompt's last, empty if there is none.
+func sharedPartOf(prefix string, parts []string) string {
 	list := strings.Split(prefix, ",")
-	return slices.ContainsFunc(list[:len(list)-1], func(part string) bool {
-		id, _, _ := strings.Cut(part, ":")
-		return slices.Contains(parts, id)
-	})
+	for _, part := range list[:len(list)-1] {
+		if id, _, _ := strings.Cut(part, ":"); slices.Contains(parts, id) {
+			return id
+		}
+	}
+	return ""
 }
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -156,7 +156,9 @@
 	drainingSince time.Time
 	// crashing are the parts of prompts that crash the upstream.
 	crashing []string
-	crashes  int
+	// crashes are the parts that the upstream crashed on, and crashedAt is when it last did.
+	crashes   []string
+	crashedAt time.Time
 }
 
 // NewUpstream starts an upstream and registers it in the store unless that is nil.
@@ -273,6 +275,10 @@
 		return
 	}
 	u.mu.Lock()
+	if len(u.crashes) > 0 {
+		u.mu.Unlock()
+		return
+	}
 	u.heartbeats++
 	value, err := json.Marshal(map[string]any{
 		"service": u.spec.Service, "address": u.Address(), "zone": u.spec.DataCentre, "version": "v1", "slots": u.spec.Slots,
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -225,7 +225,9 @@
 	ID    string
 	Path  string
 	Model string
-	Body  string
+	// Prefix lists the parts of the prompt, empty to send none.
+	Prefix string
+	Body   string
 	// Address is the host:port to connect to.
 	Address string
 }
@@ -283,6 +285,9 @@
 		httpRequest.Header.Set("Model", request.Model)
 		httpRequest.Header.Set("Token-Count", "100,20")
 	}
+	if request.Prefix != "" {
+		httpRequest.Header.Set("Prompt-Prefix", request.Prefix)
+	}
 	// Without GetBody the HTTP client does not retry a failed request by itself.
 	httpRequest.GetBody = nil
 	response, err := client.Do(httpRequest)
