--- a/front/front.go
+++ b/front/front.go
@@ -124,9 +124,12 @@
 	return i
 }
 
-// Reload applies the profiles of new settings. All other settings need a
-// restart.
-func (i *Instance) Reload(settings *Settings) { i.loop.SetProfiles(settings.profiles) }
+// Reload applies the profiles and the sound parts of new settings. All other settings need
+// a restart.
+func (i *Instance) Reload(settings *Settings) {
+	i.loop.SetProfiles(settings.profiles)
+	i.parts.SetSound(settings.soundParts)
+}
 
 // registerGauges registers gauges that read the view of the control loop when the
 // metrics are requested: the view is what the instance knows of the deployment.
--- a/front/provide.go
+++ b/front/provide.go
@@ -25,8 +25,8 @@
 
 // Set is the Wire provider set of an instance.
 var Set = wire.NewSet(
-	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget,
-	coord.New, demand.New, health.New, pace.New, poison.New, poison.NewParts, quota.NewBook, metric.New, newShutdownState, New,
+	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget, provideParts,
+	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, metric.New, newShutdownState, New,
 )
 
 func provideStore(settings *Settings, logger hclog.Logger) *platform.Store {
@@ -42,6 +42,12 @@
 	}
 }
 
+func provideParts(settings *Settings) *poison.Parts {
+	parts := poison.NewParts()
+	parts.SetSound(settings.soundParts)
+	return parts
+}
+
 func provideWaiters(loop *coord.Loop) *await.Waiters { return await.New(loop) }
 
 func providePool(metrics *metric.Tally) *conns.Pool {
--- a/front/settings.go
+++ b/front/settings.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 	"cardamomcourse.example/cardamom/conf"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/retry"
 )
 
@@ -69,6 +71,8 @@
 	retries retry.Limits
 	// profiles sets how many replicas the models of each service get.
 	profiles coord.Profiles
+	// soundParts are the parts of prompts that are never refused.
+	soundParts []poison.Part
 }
 
 // Listen has the host:port addresses on which an instance listens.
@@ -108,6 +112,9 @@
 // replicas the models of a service get.
 func (s *Settings) Profiles() coord.Profiles { return s.profiles }
 
+// SoundParts returns the parts of prompts that are never refused, whatever upstreams die of.
+func (s *Settings) SoundParts() []poison.Part { return s.soundParts }
+
 // Memory returns the memory limit of the process in bytes.
 func (s *Settings) Memory() int64 { return s.memoryBytes }
 
@@ -144,6 +151,8 @@
 	Profiles map[string]profileWire `json:"profiles"`
 	// Services maps services to profile names; "*" applies to all others.
 	Services map[string]string `json:"services"`
+	// SoundParts lists by service the parts of prompts that are never refused.
+	SoundParts map[string][]string `json:"sound_parts"`
 }
 
 // profileWire is a profile whose missing fields default to plan.DefaultProfile.
@@ -195,6 +204,17 @@
 	return profiles
 }
 
+// decodeSoundParts returns the parts, whose identifiers callers may write in any case.
+func decodeSoundParts(wire map[string][]string) []poison.Part {
+	var parts []poison.Part
+	for service, ids := range wire {
+		for _, id := range ids {
+			parts = append(parts, poison.NewPart(cardamom.ServiceID(service), strings.ToLower(id)))
+		}
+	}
+	return parts
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
 	body, err := conf.ReadFile(path)
@@ -230,7 +250,7 @@
 		return nil, err
 	}
 	return &Settings{
-		profiles: profiles,
+		profiles: profiles, soundParts: decodeSoundParts(wire.SoundParts),
 		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.DataCentre(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
 		listen:      Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
 		memoryBytes: int64(wire.MemoryMB * (1 << 20)), processorCores: wire.Processor, linkMbps: wire.LinkMbps, logLevel: wire.LogLevel,
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -12,6 +12,7 @@
 
 	"cardamomcourse.example/cardamom/front"
 	"cardamomcourse.example/cardamom/plan"
+	"cardamomcourse.example/cardamom/poison"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -44,6 +45,13 @@
 		})
 	}
 
+	It("lists the parts of prompts that are never refused, whatever their case", func() {
+		settings, err := front.Parse("parts", []byte(`{"instance": "a", "data_centre": "x", "store": "h:1", "sound_parts": {"letters": ["5C1E07a2"]},
+			"listen": {"entry": "h:1", "ready": "h:2", "addresses": "h:3", "sync": "h:4"}}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.SoundParts()).To(Equal([]poison.Part{poison.NewPart("letters", "5c1e07a2")}))
+	})
+
 	// The numbers come from testdata/good.jsonc.
 	It("assigns each service its profile, or else the profile of \"*\"", func() {
 		body, err := os.ReadFile("testdata/good.jsonc")
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -28,7 +28,7 @@
 	store := provideStore(settings, logger)
 	counter := demand.New()
 	ledger := poison.New()
-	parts := poison.NewParts()
+	parts := provideParts(settings)
 	book := quota.NewBook()
 	options := provideOptions(settings, store, counter, ledger, parts, book, logger)
 	loop := coord.New(options)
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -77,6 +77,8 @@
 	survivals map[cardamom.ServiceID]int
 	// running are the parts of suspected requests in flight at this instance.
 	running map[Part]int
+	// sound are the parts that the operator declares sound.
+	sound map[Part]bool
 	// tries means that this instance may let requests through for trial.
 	tries    bool
 	onChange func()
@@ -120,6 +122,16 @@
 	p.tries = allowed
 }
 
+// SetSound sets the parts that the operator declares sound: they are never refused.
+func (p *Parts) SetSound(parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sound = make(map[Part]bool, len(parts))
+	for _, part := range parts {
+		p.sound[part] = true
+	}
+}
+
 // Died records the death of an upstream process while it had a request with the parts
 // that had got no whole event of its answer.
 func (p *Parts) Died(service cardamom.ServiceID, parts []string, death Death, now time.Time) []Change {
@@ -327,7 +339,7 @@
 	verdict, decisive := Clean, ""
 	for _, id := range parts {
 		r, ok := p.records[Part{service, id}]
-		if !ok {
+		if !ok || p.sound[r.part] {
 			continue
 		}
 		if now.Sub(r.seen) >= partRetention {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -147,6 +147,20 @@
 		Expect(parts.Begin("s", "bad")).To(BeTrue())
 	})
 
+	It("refuses no part that the operator declares sound", func() {
+		parts := poison.NewParts()
+		for n := range 3 {
+			die(parts, "bad", fmt.Sprint(n), began.Add(time.Duration(n)*time.Second))
+		}
+		now := began.Add(3 * time.Second)
+		parts.SetSound([]poison.Part{poison.NewPart("s", "bad")})
+		verdict, _ := parts.Verdict("s", []string{"bad"}, now)
+		Expect(verdict).To(Equal(poison.Clean))
+		parts.SetSound(nil)
+		verdict, _ = parts.Verdict("s", []string{"bad"}, now)
+		Expect(verdict).To(Equal(poison.Refused))
+	})
+
 	It("keeps a bounded number of parts, and of these the ones with the most deaths", func() {
 		parts := poison.NewParts()
 		for n := range 3 {
