--- a/reqlog/reqlog.go
+++ b/reqlog/reqlog.go
@@ -159,10 +159,11 @@
 // NewTimeline returns the timeline of the request with the ID. It has the lines that
 // name the request. From 2 s before the request to 2 s after it, it also has the lines
 // that name one of its upstreams or models and no other request, and the lines of
-// events that may affect any request, such as the loss of an instance.
+// events that may affect any request, such as the loss of an instance. Of a request that was
+// refused for a part of its prompt it has all verdicts on the part until then.
 func NewTimeline(id string, lines []Line) Timeline {
 	t := Timeline{id: id}
-	subjects := make(map[string]bool)
+	subjects, parts := make(map[string]bool), make(map[string]bool)
 	for _, line := range lines {
 		if line.Value("request") != id {
 			continue
@@ -173,6 +174,9 @@
 				subjects[key+"="+value] = true
 			}
 		}
+		if part := line.Value("part"); part != "" {
+			parts[part] = true
+		}
 	}
 	if len(t.lines) == 0 {
 		return t
@@ -180,6 +184,10 @@
 	sortLines(t.lines)
 	from, to := t.window()
 	for _, line := range lines {
+		if line.event == "part_verdict" && parts[line.Value("part")] && line.Value("request") != id && !line.time.After(to) {
+			t.related = append(t.related, line)
+			continue
+		}
 		if line.Value("request") != "" || line.time.Before(from) || line.time.After(to) {
 			continue
 		}
