Count deaths in full where no answer had begun, and don't wait for survivors because of requests that waited

A death for which no answer had begun counts in full now, and a crash of the fake lets through what was written, as a process's end does.

--- a/fakes/host/crash.go
+++ b/fakes/host/crash.go
@@ -36,13 +36,13 @@
 }
 
 // crash ends the upstream as its process would: no new connection is accepted before the
-// open ones break.
+// open ones break, and what it has written arrives.
 func (u *Upstream) crash() {
 	_ = u.server.Listener.Close()
 	if u.link != nil {
 		_ = u.link.listener.Close()
 	}
-	go u.Close()
+	go u.stop()
 	<-u.closed
 }
 
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -231,13 +231,18 @@
 	return u.drainingSince
 }
 
-// Close stops the upstream at once, as a crash would.
+// Close stops the upstream and its link at once.
 func (u *Upstream) Close() {
+	if u.link != nil {
+		u.link.Close()
+	}
+	u.stop()
+}
+
+// stop breaks the upstream's connections and stops it.
+func (u *Upstream) stop() {
 	u.closeOnce.Do(func() {
 		close(u.closed)
-		if u.link != nil {
-			u.link.Close()
-		}
 		u.server.CloseClientConnections()
 		u.server.Close()
 	})
--- a/fakes/host/link.go
+++ b/fakes/host/link.go
@@ -45,9 +45,10 @@
 	listener net.Listener
 	fault    LinkFault
 	// resumed are the times at which the link went on after it was silent.
-	resumed []time.Time
-	open    map[net.Conn]bool
-	closed  chan struct{}
+	resumed   []time.Time
+	open      map[net.Conn]bool
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // NewLink returns a link that listens on loopback and forwards to the target.
@@ -101,7 +102,7 @@
 
 // Close stops the link and closes its connections.
 func (l *Link) Close() {
-	close(l.closed)
+	l.closeOnce.Do(func() { close(l.closed) })
 	_ = l.listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -88,8 +88,9 @@
 func (e Evidence) Trials() (int, time.Time) { return e.trials, e.tried }
 
 const (
-	// begunPoints and waitingPoints are what a death counts, by whether the answer had
-	// begun. An engine that crashes on a part has begun to answer, but its last bytes may be lost.
+	// begunPoints and waitingPoints are what a death counts, by whether the answer had begun.
+	// An engine that crashes on a part has begun to answer. Where no answer had, the last
+	// bytes were lost, and all requests count alike.
 	begunPoints   = 2
 	waitingPoints = 1
 	// refusalPoints are three deaths while an answer had begun.
@@ -114,8 +115,9 @@
 // proven reports whether requests with the part have survived.
 func (e *Evidence) proven() bool { return !e.survived.IsZero() }
 
-// points returns what the deaths count that no other refused part explains.
-func (e *Evidence) points(explained func(Death) bool) int {
+// points returns what the deaths count that no other refused part explains. begun has the
+// deaths for which some request's answer had begun.
+func (e *Evidence) points(explained func(Death) bool, begun map[string]bool) int {
 	points := 0
 	var last time.Time
 	for _, d := range e.deaths {
@@ -123,7 +125,7 @@
 			continue
 		}
 		last = d.at
-		if d.begun {
+		if d.begun || !begun[d.name] {
 			points += begunPoints
 		} else {
 			points += waitingPoints
@@ -142,8 +144,8 @@
 
 // judge returns the verdict on the part. others is how many requests without it have
 // survived since its first death.
-func (e *Evidence) judge(explained func(Death) bool, others int) Verdict {
-	points := e.points(explained)
+func (e *Evidence) judge(explained func(Death) bool, begun map[string]bool, others int) Verdict {
+	points := e.points(explained, begun)
 	switch {
 	case e.proven() && points >= provenRefusalPoints && others >= provenOthers, !e.proven() && points >= refusalPoints:
 		return Refused
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -260,8 +260,12 @@
 // share has the deaths of other parts besides.
 func (p *Parts) judge() []Change {
 	list := make([]*record, 0, len(p.records))
+	begun := make(map[string]bool)
 	for _, r := range p.records {
 		list = append(list, r)
+		for _, d := range r.deaths {
+			begun[d.name] = begun[d.name] || d.begun
+		}
 	}
 	slices.SortFunc(list, compareSuspicion)
 	explained := make(map[string]*record)
@@ -272,7 +276,7 @@
 		r.verdict = r.judge(func(d Death) bool {
 			by, ok := explained[d.name]
 			return ok && !slices.Contains(by.together, r.part.id)
-		}, others)
+		}, begun, others)
 		if r.verdict == Refused && !r.proven() && r.compare(list) && others == 0 {
 			r.verdict = Suspected
 		}
@@ -289,8 +293,8 @@
 }
 
 // compare finds the parts that no request has survived and that all the deaths have in
-// common. It reports whether another such part may be the cause of some of the deaths: then
-// it takes a request that survives without the part to tell.
+// common. It reports whether another such part may as well be the cause of some of the
+// deaths: then it takes a request that survives without the part to tell.
 func (r *record) compare(list []*record) bool {
 	r.together = []string{r.part.id}
 	ambiguous := false
@@ -298,16 +302,21 @@
 		if other == r || other.part.service != r.part.service || other.proven() {
 			continue
 		}
-		common := 0
+		common, asStrong := 0, 0
 		for _, d := range r.deaths {
-			if slices.ContainsFunc(other.deaths, func(o Death) bool { return o.name == d.name }) {
-				common++
+			at := slices.IndexFunc(other.deaths, func(o Death) bool { return o.name == d.name })
+			if at < 0 {
+				continue
+			}
+			common++
+			if other.deaths[at].begun || !d.begun {
+				asStrong++
 			}
 		}
 		switch {
 		case common == len(r.deaths):
 			r.together = append(r.together, other.part.id)
-		case common >= 2:
+		case asStrong >= 2:
 			ambiguous = true
 		}
 	}
