Judge parts without those deaths that a more specific part may explain

Now only the deaths that a part with fewer of them may explain are left out, so that of several parts that crash engines each is found, and the one that they share isn't taken for them.

In the stand-in engines that behave otherwise and those that replace others crash on such a part as well: they had answered it, which cleared it.

--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -168,7 +168,9 @@
 	}
 	old := live[random.IntN(len(live))]
 	service, _, _ := strings.Cut(old.ID(), "-")
-	s.site.Upstreams = append(s.site.Upstreams, host.NewUpstream(s.site.Store, s.upstreamSpec(service)))
+	next := host.NewUpstream(s.site.Store, s.upstreamSpec(service))
+	next.CrashOn(s.parts...)
+	s.site.Upstreams = append(s.site.Upstreams, next)
 	old.Drain()
 	return nil
 }
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -55,6 +55,11 @@
 	return behaviour
 }
 
+// silentBehaviours are those that write no answer to a request that runs.
+var silentBehaviours = map[Behaviour]bool{
+	CloseEarly: true, Hang: true, Full: true, Misdirected: true, UnmarkedRefusal: true, EndlessRefusal: true, StalledRefusal: true,
+}
+
 // Disconnects returns how many hanging requests ended because the client disconnected.
 func (u *Upstream) Disconnects() int {
 	u.mu.Lock()
@@ -81,7 +86,7 @@
 		behaviour = Misdirected
 	}
 	part := sharedPartOf(r.Header.Get("Prompt-Prefix"), u.crashing)
-	if behaviour == Answer && part != "" {
+	if part != "" && !silentBehaviours[behaviour] {
 		behaviour = Crash
 	}
 	if behaviour == Crash {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -277,7 +277,7 @@
 			by, ok := explained[d.name]
 			return ok && !slices.Contains(by.together, r.part.id)
 		}, begun, others)
-		if r.verdict == Refused && !r.proven() && r.compare(list) && others == 0 {
+		if r.verdict == Refused && !r.proven() && r.compare(list, begun) && others == 0 {
 			r.verdict = Suspected
 		}
 		if r.verdict == Refused {
@@ -293,34 +293,43 @@
 }
 
 // compare finds the parts that no request has survived and that all the deaths have in
-// common. It reports whether another such part may as well be the cause of some of the
-// deaths: then it takes a request that survives without the part to tell.
-func (r *record) compare(list []*record) bool {
+// common. It reports whether the deaths don't suffice for a verdict without those of which
+// another such part may as well be the cause, one that has fewer deaths and at least two
+// of these: then it takes a request that survives without the part to tell.
+func (r *record) compare(list []*record, begun map[string]bool) bool {
 	r.together = []string{r.part.id}
-	ambiguous := false
+	alternative := make(map[string]bool)
 	for _, other := range list {
 		if other == r || other.part.service != r.part.service || other.proven() {
 			continue
 		}
-		common, asStrong := 0, 0
-		for _, d := range r.deaths {
-			at := slices.IndexFunc(other.deaths, func(o Death) bool { return o.name == d.name })
-			if at < 0 {
-				continue
-			}
-			common++
-			if other.deaths[at].begun || !d.begun {
-				asStrong++
-			}
-		}
+		common, asStrong := r.commonDeaths(other)
 		switch {
 		case common == len(r.deaths):
 			r.together = append(r.together, other.part.id)
-		case asStrong >= 2:
-			ambiguous = true
+		case len(asStrong) >= 2 && len(other.deaths) < len(r.deaths):
+			for _, name := range asStrong {
+				alternative[name] = true
+			}
+		}
+	}
+	return r.points(func(d Death) bool { return alternative[d.name] }, begun) < refusalPoints
+}
+
+// commonDeaths returns how many of the deaths the other part has, and the names of those
+// for which its evidence is as strong.
+func (r *record) commonDeaths(other *record) (common int, asStrong []string) {
+	for _, d := range r.deaths {
+		at := slices.IndexFunc(other.deaths, func(o Death) bool { return o.name == d.name })
+		if at < 0 {
+			continue
+		}
+		common++
+		if other.deaths[at].begun || !d.begun {
+			asStrong = append(asStrong, d.name)
 		}
 	}
-	return ambiguous
+	return common, asStrong
 }
 
 // compareSuspicion orders parts that no request has survived before those that some have,
