Send no more requests to an upstream that says in an answer that it leaves

What callers saw: an upstream that leaves says so in its answers before the store does, and went on getting requests until the store's news of it arrived.

Cause: nothing read the header.

Why this works: each answer that speaks of its own upstream is read, reports too, and a book of its own keeps the run that leaves, against older news from the store, a coordinator or a restored copy, until a later run of it is listed. It is asked again right before each send. The instance tells the coordinator with its next exchange, which starts early; its plan and the other instances see a leave as if the upstream had registered it.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -152,6 +152,7 @@
 	}
 	request.NeedDocument = l.needDocument
 	request.Limits = encodeLimits(l.options.Limits.Limits(), clock.Now())
+	request.Leaving = encodeRuns(l.options.Notices.Leaving())
 	request.Parts = l.partsFor(l.lastAnswered, clock.Now())
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
@@ -286,6 +287,7 @@
 func (l *Loop) applyPeerStats(reply *syncpb.ExchangeReply, began time.Time) {
 	l.logLimits(l.options.Limits.Merge(decodeLimits(reply.GetLimits(), began)), "coordinator")
 	l.pruneLimits(began)
+	l.pruneNotices(began)
 	stats := make(map[cardamom.UpstreamID]UpstreamStats, len(reply.GetLoads()))
 	for _, load := range reply.GetLoads() {
 		stats[cardamom.UpstreamID(load.GetUpstream())] = UpstreamStats{int(load.GetRunning()), int(load.GetFailures())}
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -10,6 +10,7 @@
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -73,6 +74,7 @@
 	Ledger    *poison.Ledger
 	Parts     *poison.Parts
 	Limits    *quota.Book
+	Notices   *notice.Book
 	Logger    hclog.Logger
 }
 
@@ -148,6 +150,7 @@
 	}
 	options.Demand.OnStart(l.requestStarted)
 	options.Parts.OnChange(l.partsChanged)
+	options.Notices.OnLeave(l.leaveNoticed)
 	return l
 }
 
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -77,6 +77,7 @@
 				if p, ok := t.plans[service]; ok {
 					p.Report(upstream.ID, report, now)
 					t.recordLimit(upstream.ID, report.RateLimit, now)
+					t.recordLeave(upstream.ID, report, now)
 				}
 			}
 		})
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -51,6 +51,7 @@
 // exchange, or the coordinator's address if this instance does not coordinate.
 func (l *Loop) exchange(request *syncpb.ExchangeRequest, now time.Time) *syncpb.ExchangeReply {
 	l.mergeParts(request.GetParts(), "member", now)
+	l.mergeLeaves(request.GetLeaving(), now)
 	t := l.term
 	if t == nil {
 		_, address := l.lease.Holder()
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -80,6 +80,9 @@
 	if len(u.rateLimit) > 0 {
 		w.Header()[rateLimitHeader] = u.rateLimit
 	}
+	if !u.leavesFrom.IsZero() {
+		w.Header().Set(leavingHeader, "1")
+	}
 	behaviour := u.nextBehaviour()
 	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -133,6 +133,8 @@
 	runs   []Run
 	// rateLimit are the values of the header that names a rate limit; empty for none.
 	rateLimit []string
+	// leavesFrom is when the upstream began to say in its answers that it leaves.
+	leavesFrom time.Time
 	// arrivals are the requests that arrived, also those that were refused.
 	arrivals []Arrival
 	// resident has the loaded adapters of each model in memory.
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -11,6 +11,7 @@
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/metric"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -30,7 +31,8 @@
 	ledger := poison.New()
 	parts := provideParts(settings)
 	book := quota.NewBook()
-	options := provideOptions(settings, store, counter, ledger, parts, book, logger)
+	noticeBook := notice.NewBook()
+	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, logger)
 	loop := coord.New(options)
 	tally := metric.New()
 	pool := providePool(tally)
@@ -39,7 +41,7 @@
 	paceTracker := pace.New()
 	budget := provideBudget(settings)
 	frontShutdownState := newShutdownState()
-	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, tally, frontShutdownState, logger)
+	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, noticeBook, tally, frontShutdownState, logger)
 	instance := New(settings, loop, pool, server, parts, book, tally, frontShutdownState, logger)
 	return instance
 }
--- a/logs/words.go
+++ b/logs/words.go
@@ -74,6 +74,7 @@
 	"table_unavailable":     "the table could not be reached",
 	"upstream_changed":      "an upstream is new or changed its state",
 	"upstream_died":         "an upstream was no longer running after a request to it broke",
+	"upstream_leaves":       "an upstream says in an answer that it leaves",
 	"upstream_down":         "an engine is excluded from planning though it is still listed",
 	"upstream_gone":         "an upstream is no longer listed",
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -81,6 +81,11 @@
 	t.Add(fmt.Sprintf("part_verdicts_total{refused=%q}", strconv.FormatBool(refused)), 1)
 }
 
+// CountNotice counts what an upstream newly says of itself, by kind.
+func (t *Tally) CountNotice(kind string) {
+	t.Add(fmt.Sprintf("upstream_notices_total{kind=%q}", kind), 1)
+}
+
 // CountLate counts a response that missed its targets by kind and cause.
 func (t *Tally) CountLate(kind, cause string) {
 	t.Add(fmt.Sprintf("late_total{kind=%q,cause=%q}", kind, cause), 1)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,6 +14,7 @@
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
@@ -114,6 +115,9 @@
 		return x.mayContinue()
 	}
 	defer end()
+	if s := x.server; s.Notices.IsLeaving(notice.NewRun(upstream.ID, upstream.StartedMs)) {
+		return true
+	}
 	now := time.Now()
 	if x.sends > 0 && !x.allowRetry(upstream) {
 		x.giveUp("retry_budget")
@@ -201,6 +205,7 @@
 	s.Metrics.ObserveDuration("first_byte", time.Since(now))
 	reply := s.Dialect.ParseResponse(response.Status(), response.Header())
 	x.recordLimit(upstream, reply)
+	x.recordNotice(upstream, reply)
 	switch {
 	case reply.NotRun && reply.ID != "" && reply.ID != x.info.ID:
 		return x.handleBroken(upstream, conns.ErrInvalidResponse, now)
--- a/relay/find.go
+++ b/relay/find.go
@@ -11,6 +11,7 @@
 	"cardamomcourse.example/cardamom/await"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/coord"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -147,7 +148,7 @@
 	_, found.needsModel = x.modelEngine()
 	limited := s.Limits.InForce() > 0
 	for _, upstream := range view.Upstreams(x.service) {
-		if upstream.State != cardamom.Live {
+		if upstream.State != cardamom.Live || s.Notices.IsLeaving(notice.NewRun(upstream.ID, upstream.StartedMs)) {
 			continue
 		}
 		found.listed++
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -89,6 +90,8 @@
 	Misdirected bool
 	// RateLimit is what it states of the upstream's rate limit.
 	RateLimit site.RateLimit
+	// Leaving means that the upstream says that it leaves.
+	Leaving bool
 }
 
 // Dialect parses and writes the headers that callers and upstreams use.
@@ -123,6 +126,8 @@
 	CountRateLimit(change string)
 	// CountPartVerdict counts a change of the verdict on a part of prompts.
 	CountPartVerdict(refused bool)
+	// CountNotice counts what an upstream newly says of itself, by kind.
+	CountNotice(kind string)
 	// CountLate counts a response that missed its route's targets.
 	CountLate(kind, cause string)
 	ObserveDuration(stage string, duration time.Duration)
@@ -142,6 +147,7 @@
 	Ledger     *poison.Ledger
 	Parts      *poison.Parts
 	Limits     *quota.Book
+	Notices    *notice.Book
 	Permits    Permits
 	// Alone permits requests to upstreams with a rate limit while no coordinator
 	// answers.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,6 +27,7 @@
 	"cardamomcourse.example/cardamom/fakes/host"
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/metric"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
@@ -140,7 +141,7 @@
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: w.views, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
+		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
 	w.server = httptest.NewServer(server)
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -64,6 +64,8 @@
 	OnDisk          map[cardamom.ModelID]bool
 	// RateLimit is what the answer with the report states.
 	RateLimit RateLimit
+	// Leaving means that the answer says that the upstream leaves.
+	Leaving bool
 }
 
 // OrderKind is the operation of an order.
