Keep to the time for which an upstream that turns a request away wants no more

What callers saw: requests went on to an upstream that had asked for a wait, were turned away there and lost time, while others could have served them.

Cause: the time in its refusal was not read.

Why this works: the book of what upstreams say of themselves keeps until when the run wants none from this instance; it is no candidate until then, and is asked for once more before a send. Where only it could run a request, that waits if the time ends early enough, and counts as demand for the model meanwhile, else it is refused at once with the time. The later of two times holds. Not a number, negative, a date, over an hour or two values: ignored, logged once an upstream.

--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -83,6 +83,11 @@
 	if !u.leavesFrom.IsZero() {
 		w.Header().Set(leavingHeader, "1")
 	}
+	if values := u.retryAfter; len(values) > 0 {
+		u.mu.Unlock()
+		turnAway(w, values)
+		return
+	}
 	behaviour := u.nextBehaviour()
 	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -135,6 +135,9 @@
 	rateLimit []string
 	// leavesFrom is when the upstream began to say in its answers that it leaves.
 	leavesFrom time.Time
+	// retryAfter are the values of the header with which requests are turned away; empty to
+	// run them.
+	retryAfter []string
 	// arrivals are the requests that arrived, also those that were refused.
 	arrivals []Arrival
 	// resident has the loaded adapters of each model in memory.
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -42,6 +42,6 @@
 	budget := provideBudget(settings)
 	frontShutdownState := newShutdownState()
 	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, noticeBook, tally, frontShutdownState, logger)
-	instance := New(settings, loop, pool, server, parts, book, tally, frontShutdownState, logger)
+	instance := New(settings, loop, pool, server, parts, book, noticeBook, tally, frontShutdownState, logger)
 	return instance
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -10,6 +10,8 @@
 //	book := notice.NewBook()
 //	book.Leave(notice.NewRun("i-1", startedMs), now)
 //	if book.IsLeaving(notice.NewRun("i-1", startedMs)) { /* send elsewhere */ }
+//	book.Wait(notice.NewRun("i-2", startedMs), 2*time.Second, now)
+//	if until, ok := book.WaitUntil(notice.NewRun("i-2", startedMs), now); ok { /* send elsewhere, or later */ }
 package notice
 
 import (
@@ -48,6 +50,9 @@
 type Book struct {
 	mu      sync.Mutex
 	leaving map[cardamom.UpstreamID]leave
+	waits   map[cardamom.UpstreamID]wait
+	// invalid are the upstreams that named an invalid wait.
+	invalid map[cardamom.UpstreamID]bool
 	onLeave func(run Run)
 }
 
@@ -56,9 +61,17 @@
 	said      time.Time
 }
 
+type wait struct {
+	startedMs int64
+	until     time.Time
+}
+
 // NewBook returns a book without notices.
 func NewBook() *Book {
-	return &Book{leaving: make(map[cardamom.UpstreamID]leave), onLeave: func(Run) {}}
+	return &Book{
+		leaving: make(map[cardamom.UpstreamID]leave), waits: make(map[cardamom.UpstreamID]wait),
+		invalid: make(map[cardamom.UpstreamID]bool), onLeave: func(Run) {},
+	}
 }
 
 // OnLeave sets a function that is called when a leave is new to this instance.
@@ -105,6 +118,57 @@
 	return runs
 }
 
+// Wait records that a run of an upstream wants no requests from this instance for a time,
+// and reports whether no wait was in force before. Of two waits the one that ends later is
+// kept: an upstream that names a shorter one has not said that the other is over.
+func (b *Book) Wait(run Run, span time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.waits[run.id]
+	if ok && known.startedMs > run.startedMs || !ok && len(b.waits) >= maxRuns {
+		return false
+	}
+	inForce := ok && known.startedMs == run.startedMs && known.until.After(now)
+	if until := now.Add(span); !inForce || until.After(known.until) {
+		b.waits[run.id] = wait{run.startedMs, until}
+	}
+	return !inForce && span > 0
+}
+
+// WaitUntil returns until when a run of an upstream wants no requests, and whether that is
+// after now.
+func (b *Book) WaitUntil(run Run, now time.Time) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.waits[run.id]
+	return known.until, ok && known.startedMs == run.startedMs && known.until.After(now)
+}
+
+// Waiting returns how many upstreams want no requests now.
+func (b *Book) Waiting(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, known := range b.waits {
+		if known.until.After(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Invalid records that an upstream named an invalid wait, and reports whether it is the
+// first.
+func (b *Book) Invalid(id cardamom.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.invalid[id] || len(b.invalid) >= maxRuns {
+		return false
+	}
+	b.invalid[id] = true
+	return true
+}
+
 // Prune removes notices of runs that ended: those that were last said long ago, and those
 // with a later run. startedMs returns when the listed run of an upstream began.
 func (b *Book) Prune(startedMs func(id cardamom.UpstreamID) (int64, bool), now time.Time) {
@@ -115,4 +179,14 @@
 			delete(b.leaving, id)
 		}
 	}
+	for id, known := range b.waits {
+		if listed, ok := startedMs(id); !ok || listed > known.startedMs || !known.until.After(now) {
+			delete(b.waits, id)
+		}
+	}
+	for id := range b.invalid {
+		if _, ok := startedMs(id); !ok {
+			delete(b.invalid, id)
+		}
+	}
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -71,3 +71,46 @@
 		Expect(len(book.Leaving())).To(BeNumerically("<=", 8192))
 	})
 })
+
+var _ = Describe("a run that wants no requests for a time", func() {
+	now := time.Unix(1000, 0)
+	run := notice.NewRun("u", 5)
+
+	It("gets some again after it, and at once in its next run", func() {
+		book := notice.NewBook()
+		Expect(book.Wait(run, 2*time.Second, now)).To(BeTrue())
+		until, waits := book.WaitUntil(run, now.Add(time.Second))
+		Expect(waits).To(BeTrue())
+		Expect(until).To(Equal(now.Add(2 * time.Second)))
+		_, waits = book.WaitUntil(run, now.Add(2*time.Second))
+		Expect(waits).To(BeFalse())
+		_, waits = book.WaitUntil(notice.NewRun("u", 6), now)
+		Expect(waits).To(BeFalse())
+		Expect(book.Wait(run, time.Second, now.Add(3*time.Second))).To(BeTrue())
+	})
+
+	It("waits for the later of two times", func() {
+		book := notice.NewBook()
+		book.Wait(run, 2*time.Second, now)
+		Expect(book.Wait(run, 5*time.Second, now.Add(time.Second))).To(BeFalse())
+		Expect(book.Wait(run, time.Second, now.Add(time.Second))).To(BeFalse())
+		until, _ := book.WaitUntil(run, now)
+		Expect(until).To(Equal(now.Add(6 * time.Second)))
+	})
+
+	It("names an invalid time once", func() {
+		book := notice.NewBook()
+		Expect(book.Invalid("u")).To(BeTrue())
+		Expect(book.Invalid("u")).To(BeFalse())
+	})
+
+	It("takes bounded room, and none after the time", func() {
+		book := notice.NewBook()
+		for n := range 20000 {
+			book.Wait(notice.NewRun(cardamom.UpstreamID(fmt.Sprint(n)), 1), time.Second, now)
+		}
+		Expect(book.Waiting(now)).To(BeNumerically("<=", 8192))
+		book.Prune(func(cardamom.UpstreamID) (int64, bool) { return 1, true }, now.Add(time.Second))
+		Expect(book.Waiting(now)).To(BeZero())
+	})
+})
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,7 +14,6 @@
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
-	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
@@ -115,7 +114,7 @@
 		return x.mayContinue()
 	}
 	defer end()
-	if s := x.server; s.Notices.IsLeaving(notice.NewRun(upstream.ID, upstream.StartedMs)) {
+	if may, _ := x.server.mayGet(upstream); !may {
 		return true
 	}
 	now := time.Now()
--- a/relay/find.go
+++ b/relay/find.go
@@ -11,7 +11,6 @@
 	"cardamomcourse.example/cardamom/await"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/coord"
-	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -137,6 +136,9 @@
 	suspected []cardamom.UpstreamID
 	// listed is the number of live upstreams of the service.
 	listed int
+	// freeAt is when the first of those upstreams that want no requests for a time may get
+	// some again, zero if there is none.
+	freeAt time.Time
 	// needsModel means that the request needs an engine with its model.
 	needsModel bool
 }
@@ -148,13 +150,20 @@
 	_, found.needsModel = x.modelEngine()
 	limited := s.Limits.InForce() > 0
 	for _, upstream := range view.Upstreams(x.service) {
-		if upstream.State != cardamom.Live || s.Notices.IsLeaving(notice.NewRun(upstream.ID, upstream.StartedMs)) {
+		may, until := s.mayGet(upstream)
+		if upstream.State != cardamom.Live || !may && until.IsZero() {
 			continue
 		}
 		found.listed++
 		if found.needsModel && (!upstream.HasLoaded(x.info.Model, x.info.Adapter) || s.availability.lacks(upstream, x.info, now)) {
 			continue
 		}
+		if !may {
+			if found.freeAt.IsZero() || until.Before(found.freeAt) {
+				found.freeAt = until
+			}
+			continue
+		}
 		suspended := s.Health.Suspended(upstream.ID, now)
 		if suspended && found.needsModel && !x.ignoreSuspension {
 			found.suspected = append(found.suspected, upstream.ID)
@@ -212,6 +221,8 @@
 	switch {
 	case full:
 		x.awaitSlot(began)
+	case !found.freeAt.IsZero() && len(found.usable) == 0 && len(found.suspected) == 0:
+		x.awaitNotice(found.freeAt)
 	case found.needsModel && (x.runs == 0 || x.route.Repeatable()):
 		x.awaitModel(found.suspected)
 	case found.listed == 0 && time.Since(x.arrived) < defaultRetryDelay:
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -1,11 +1,17 @@
 package relay
 
 import (
+	"time"
+
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/site"
 )
 
+// noticeRecheckInterval is the interval at which a request that waits for the end of an
+// upstream's wait looks for another upstream.
+const noticeRecheckInterval = 50 * time.Millisecond
+
 // speaksOfItself reports whether a response comes from the upstream that the request was
 // sent to: one to another request, or one that the request is misdirected, may come from
 // another upstream at the address.
@@ -23,4 +29,43 @@
 		x.server.Metrics.CountNotice("leaving")
 		x.log.Info("upstream_leaves", "upstream", upstream.ID, "origin", "response", "request", x.info.ID)
 	}
+	switch wait := reply.Wait; {
+	case wait.Invalid != "" && x.server.Notices.Invalid(upstream.ID):
+		x.server.Metrics.CountNotice("invalid_wait")
+		x.log.Info("upstream_wait", "upstream", upstream.ID, "change", "ignored", "header", wait.Invalid, "request", x.info.ID)
+	case wait.Named && x.server.Notices.Wait(run, wait.For, clock.Now()):
+		x.server.Metrics.CountNotice("wait")
+		x.log.Info("upstream_wait", "upstream", upstream.ID, "change", "began", "expected_ms", wait.For.Milliseconds(), "request", x.info.ID)
+	}
+}
+
+// mayGet reports whether an upstream may get requests by what it says of itself, or else
+// when it may again, zero if never.
+func (s *Server) mayGet(upstream *site.Upstream) (bool, time.Time) {
+	run := notice.NewRun(upstream.ID, upstream.StartedMs)
+	if s.Notices.IsLeaving(run) {
+		return false, time.Time{}
+	}
+	until, waits := s.Notices.WaitUntil(run, clock.Now())
+	if waits {
+		return false, until
+	}
+	return true, time.Time{}
+}
+
+// awaitNotice waits a moment where the only upstreams that could run the request want none
+// until a time, or ends the request if that is too late. Requests that wait count as demand
+// for the model, so that another engine loads it.
+func (x *exchange) awaitNotice(until time.Time) {
+	wait := until.Sub(clock.Now())
+	if wait >= x.remaining(time.Now()) {
+		x.markEnded()
+		x.giveUpFor("upstream_waits", wait)
+		return
+	}
+	if x.info.Model != "" {
+		x.server.Demand.Waiting(x.key, 1)
+		defer x.server.Demand.Waiting(x.key, -1)
+	}
+	x.sleep(min(wait, noticeRecheckInterval))
 }
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/fakes/host"
 )
@@ -97,3 +100,78 @@
 		Expect(leaving.Arrivals()).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("the relay before an upstream that turns requests away and names a time", func() {
+	It("sends others there until then", func() {
+		for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+			w := newFixture(coord.AwaitResult{}, "i-2")
+			full, other := w.pair(path)
+			full.AskToWait("30")
+			for n := 0; len(full.Arrivals()) == 0; n++ {
+				Expect(n).To(BeNumerically("<", 200))
+				Expect(w.send(path)).To(Equal(http.StatusOK))
+			}
+			for range 40 {
+				Expect(w.send(path)).To(Equal(http.StatusOK))
+			}
+			Expect(full.Arrivals()).To(HaveLen(1))
+			Expect(len(other.Arrivals())).To(BeNumerically(">=", 40))
+		}
+	})
+
+	It("refuses at once what only it could run, with the time as Retry-After", func() {
+		w := newFixture(coord.AwaitResult{})
+		full, _ := w.pair("/safe/x")
+		full.AskToWait("30")
+		for range 5 {
+			status, retryAfter := w.get("/safe/x", "")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(retryAfter).To(And(BeNumerically(">", 20), BeNumerically("<=", 30)))
+		}
+		Expect(full.Arrivals()).To(HaveLen(1))
+	})
+
+	It("waits where the time ends early enough", func() {
+		w := newFixture(coord.AwaitResult{})
+		full, _ := w.pair("/safe/x")
+		full.AskToWait("1")
+		go func() {
+			defer GinkgoRecover()
+			Eventually(full.Arrivals, 10*time.Second).Should(HaveLen(1))
+			full.StopAsking()
+		}()
+		Expect(w.send("/safe/x")).To(Equal(http.StatusOK))
+		Expect(full.Arrivals()).To(HaveLen(2))
+	})
+
+	It("sends to its next run at once", func() {
+		w := newFixture(coord.AwaitResult{})
+		full, _ := w.pair("/safe/x")
+		full.AskToWait("30")
+		Expect(w.send("/safe/x")).To(Equal(http.StatusServiceUnavailable))
+		full.StopAsking()
+		w.restart("i-1-plain")
+		Expect(w.send("/safe/x")).To(Equal(http.StatusOK))
+	})
+
+	It("ignores a time that is none", func() {
+		w := newFixture(coord.AwaitResult{})
+		full, _ := w.pair("/safe/x")
+		full.AskToWait("soon")
+		Expect(w.send("/safe/x")).To(Equal(http.StatusServiceUnavailable))
+		Expect(len(full.Arrivals())).To(BeNumerically(">", 1))
+	})
+})
+
+// restart makes the view list an upstream as a later run.
+func (w *fixture) restart(id cardamom.UpstreamID) {
+	upstreams := slices.Clone(w.upstreams)
+	for n, upstream := range upstreams {
+		if upstream.ID == id {
+			later := *upstream
+			later.StartedMs++
+			upstreams[n] = &later
+		}
+	}
+	w.views.view.Store(coord.NewView(w.catalog, upstreams, nil))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,6 +92,8 @@
 	RateLimit site.RateLimit
 	// Leaving means that the upstream says that it leaves.
 	Leaving bool
+	// Wait is for how long the upstream wants no more requests from this instance.
+	Wait site.Wait
 }
 
 // Dialect parses and writes the headers that callers and upstreams use.
