--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -51,6 +51,7 @@
 	s.checkLimits()
 	s.checkBudget()
 	s.checkParts()
+	s.checkNotices()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -29,6 +29,8 @@
 	{"rate_limit", nameLimit},
 	{"all_failing", failEverywhere},
 	{"crashing_part", crashOnPart},
+	{"says_leaving", sayLeaving},
+	{"asks_to_wait", askToWait},
 }
 
 // soakFaults are the faults of a soak unless names are given.
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -84,6 +84,7 @@
 		w.Header().Set(leavingHeader, "1")
 	}
 	if values := u.retryAfter; len(values) > 0 {
+		u.recordTurned(r.Header.Get("Request-Id"))
 		u.mu.Unlock()
 		turnAway(w, values)
 		return
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -138,6 +138,7 @@
 	// retryAfter are the values of the header with which requests are turned away; empty to
 	// run them.
 	retryAfter []string
+	turned     []Turned
 	// arrivals are the requests that arrived, also those that were refused.
 	arrivals []Arrival
 	// resident has the loaded adapters of each model in memory.
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -246,6 +246,8 @@
 	// limit.
 	Upstream    string
 	RateLimited bool
+	// Leaving means that it says that its upstream leaves.
+	Leaving bool
 	// Complete reports whether the body was read to its end.
 	Complete bool
 }
@@ -297,6 +299,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	got := Response{Status: response.StatusCode, Body: string(body), Sealed: response.Header.Get("Server-Seal") != "", Complete: err == nil, ID: response.Header.Get("Request-Id")}
+	got.Leaving = response.Header.Get(leavingHeader) == "1"
 	got.Upstream, got.RateLimited = strings.TrimPrefix(response.Header.Get("Server-Seal"), "seal."), response.Header.Get(rateLimitHeader) != ""
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		got.RetryAfter = time.Duration(seconds * float64(time.Second))
