--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -145,7 +146,7 @@
 	case EndlessStatus, EndlessHeader, EndlessInformational, EndlessChunkLine, EndlessTrailer, EndlessBody, EndlessEvent, EndlessRefusal, StalledRefusal, EndlessTail:
 		u.writeEndless(behaviour, w, r)
 		return
-	case Malformed, ExtraResponse, Unframed, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
+	case Malformed, ExtraResponse, Unframed, UnframedReset, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
 		u.writeRaw(behaviour, w, r)
 		return
 	case WrongID:
@@ -220,6 +221,13 @@
 		_, _ = buffered.WriteString(head + "\r\n" + cut)
 	case UnnumberedCut:
 		_, _ = buffered.WriteString(head + "\r\ndata: piece 1\n\ndata: pie")
+	case UnframedReset:
+		_, _ = buffered.WriteString(head + "\r\n" + body[:len(body)/2])
+		_ = buffered.Flush()
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return
 	case UnframedEmpty:
 		_, _ = buffered.WriteString(head + "\r\n")
 	case UnframedShort:
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -39,6 +39,8 @@
 	UnframedShort Behaviour = "unframed-short"
 	// UnframedEmpty is Unframed, but the connection ends after the header.
 	UnframedEmpty Behaviour = "unframed-empty"
+	// UnframedReset is Unframed, but the connection is reset in the middle of the body.
+	UnframedReset Behaviour = "unframed-reset"
 	// UnnumberedCut is UnframedCut with events that have no id.
 	UnnumberedCut Behaviour = "unnumbered-cut"
 	// LengthCut states the whole length and closes the connection, in order, inside
