--- a/poison/parts.go
+++ b/poison/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,16 +53,6 @@
 	return names
 }
 
-// coveredBy reports whether a prompt has all parts that may be the cause.
-func (r *record) coveredBy(parts []string) bool {
-	for _, id := range r.together {
-		if !slices.Contains(parts, id) {
-			return false
-		}
-	}
-	return true
-}
-
 // Parts decides which shared parts of prompts crash upstreams. It is safe for concurrent
 // use.
 type Parts struct {
@@ -84,21 +73,6 @@
 	onChange func()
 }
 
-// record is the evidence on a part with the verdict.
-type record struct {
-	Evidence
-	verdict Verdict
-	// together are the parts that all the deaths have in common and that no request has
-	// survived. Any of them may be the cause, so prompts are refused that have all.
-	together []string
-	// changed is when this instance last learned something of the part, or last told others
-	// that it is still seen.
-	changed time.Time
-	// survivalsBefore is how many requests of the service had survived before the first of
-	// the deaths.
-	survivalsBefore int
-}
-
 // NewParts returns a ledger without evidence.
 func NewParts() *Parts {
 	return &Parts{
@@ -255,101 +229,6 @@
 	}
 }
 
-// judge decides on all parts anew. A death that has a refused part speaks against no
-// other part, so the parts with the fewest deaths go first: a part that sound prompts
-// share has the deaths of other parts besides.
-func (p *Parts) judge() []Change {
-	list := make([]*record, 0, len(p.records))
-	begun := make(map[string]bool)
-	for _, r := range p.records {
-		list = append(list, r)
-		for _, d := range r.deaths {
-			begun[d.name] = begun[d.name] || d.begun
-		}
-	}
-	slices.SortFunc(list, compareSuspicion)
-	explained := make(map[string]*record)
-	var changes []Change
-	for _, r := range list {
-		before := r.verdict
-		others := p.survivals[r.part.service] - r.survivalsBefore
-		r.verdict = r.judge(func(d Death) bool {
-			by, ok := explained[d.name]
-			return ok && !slices.Contains(by.together, r.part.id)
-		}, begun, others)
-		if r.verdict == Refused && !r.proven() && r.compare(list, begun) && others == 0 {
-			r.verdict = Suspected
-		}
-		if r.verdict == Refused {
-			for _, d := range r.deaths {
-				explained[d.name] = r
-			}
-		}
-		if (before == Refused) != (r.verdict == Refused) {
-			changes = append(changes, Change{evidence: r.Evidence, refused: r.verdict == Refused})
-		}
-	}
-	return changes
-}
-
-// compare finds the parts that no request has survived and that all the deaths have in
-// common. It reports whether the deaths don't suffice for a verdict without those of which
-// another such part may as well be the cause, one that has fewer deaths and at least two
-// of these: then it takes a request that survives without the part to tell.
-func (r *record) compare(list []*record, begun map[string]bool) bool {
-	r.together = []string{r.part.id}
-	alternative := make(map[string]bool)
-	for _, other := range list {
-		if other == r || other.part.service != r.part.service || other.proven() {
-			continue
-		}
-		common, asStrong := r.commonDeaths(other)
-		switch {
-		case common == len(r.deaths):
-			r.together = append(r.together, other.part.id)
-		case len(asStrong) >= 2 && len(other.deaths) < len(r.deaths):
-			for _, name := range asStrong {
-				alternative[name] = true
-			}
-		}
-	}
-	return r.points(func(d Death) bool { return alternative[d.name] }, begun) < refusalPoints
-}
-
-// commonDeaths returns how many of the deaths the other part has, and the names of those
-// for which its evidence is as strong.
-func (r *record) commonDeaths(other *record) (common int, asStrong []string) {
-	for _, d := range r.deaths {
-		at := slices.IndexFunc(other.deaths, func(o Death) bool { return o.name == d.name })
-		if at < 0 {
-			continue
-		}
-		common++
-		if other.deaths[at].begun || !d.begun {
-			asStrong = append(asStrong, d.name)
-		}
-	}
-	return common, asStrong
-}
-
-// compareSuspicion orders parts that no request has survived before those that some have,
-// and those with few deaths before those with more.
-func compareSuspicion(a, b *record) int {
-	switch {
-	case a.proven() != b.proven():
-		if b.proven() {
-			return -1
-		}
-		return 1
-	case len(a.deaths) != len(b.deaths):
-		return len(a.deaths) - len(b.deaths)
-	case a.part.service != b.part.service:
-		return strings.Compare(string(a.part.service), string(b.part.service))
-	default:
-		return strings.Compare(a.part.id, b.part.id)
-	}
-}
-
 // Verdict returns the verdict on a prompt with the parts, and the part that decided it.
 func (p *Parts) Verdict(service cardamom.ServiceID, parts []string, now time.Time) (Verdict, string) {
 	p.mu.Lock()
