Don't blame a stream that had got events for the death of its upstream, in cardd too

Callers of sound streams were refused for ten minutes after two upstreams had ended under them. The new spec fails before.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -225,7 +225,10 @@
 	case errors.Is(result.err, errCallerGone):
 		return cardamom.Fail(cardamom.ReasonCallerGone, "caller disconnected")
 	default:
-		s.recordDeath(ctx, j, replica)
+		if result.events == 0 {
+			// A request that got events has survived what would crash the upstream.
+			s.recordDeath(ctx, j, replica)
+		}
 		return s.responseFailure(ctx, result.err)
 	}
 }
--- a/entry/outcome_test.go
+++ b/entry/outcome_test.go
@@ -170,6 +170,14 @@
 		Eventually(func() int { _, running := h.controller.Counts(); return running }, "20s").Should(BeZero())
 	})
 
+	It("isn't blamed for the death of an upstream that had sent it events", func() {
+		h.useUpstream(&scriptedUpstream{script: []string{"stream-cut", "die"}})
+		Expect(readText(post(streamBody))).To(ContainSubstring("may-have-run"))
+		Expect(h.ledger.Suspects(time.Now())).To(BeEmpty())
+		readText(post(streamBody))
+		Expect(h.ledger.Suspects(time.Now())).To(HaveLen(1))
+	})
+
 	It("is refused after two upstreams died running it", func() {
 		upstream := &scriptedUpstream{script: []string{"die"}}
 		h.useUpstream(upstream)
