Keep a verdict on strong evidence though other parts explain some of its deaths later

One that took no other part to decide, on three deaths after the beginning of an answer, stays until a request survives.

--- a/poison/judge.go
+++ b/poison/judge.go
@@ -10,6 +10,8 @@
 type record struct {
 	Evidence
 	verdict Verdict
+	// settled means that the part is refused until a request with it survives.
+	settled bool
 	// together are the parts that all the deaths have in common and that no request has
 	// survived. Any of them may be the cause, so prompts are refused that have all.
 	together []string
@@ -31,6 +33,9 @@
 	return true
 }
 
+// settlingDeaths is how many deaths after the beginning of an answer a verdict needs to stay.
+const settlingDeaths = refusalPoints / begunPoints
+
 // judge decides on all parts anew. A death that has a refused part speaks against no
 // other part, so the parts with the fewest deaths go first: a part that sound prompts
 // share has the deaths of other parts besides.
@@ -53,10 +58,7 @@
 			by, ok := explained[d.name]
 			return ok && !slices.Contains(by.together, r.part.id)
 		}, begun, others)
-		r.together = []string{r.part.id}
-		if r.verdict == Refused && !r.proven() && r.compare(list, begun) && others == 0 {
-			r.verdict = Suspected
-		}
+		r.settle(list, begun, others)
 		if r.verdict == Refused {
 			for _, d := range r.deaths {
 				explained[d.name] = r
@@ -69,6 +71,36 @@
 	return changes
 }
 
+// settle finishes the verdict with what is known of the other parts. One on strong evidence
+// that holds without a look at them stays until a request with the part survives, also if
+// another part turns out to explain some of the deaths.
+func (r *record) settle(list []*record, begun map[string]bool, others int) {
+	switch {
+	case len(r.deaths) == 0:
+		r.settled = false
+	case r.settled:
+		r.verdict = Refused
+	case r.verdict == Refused:
+		r.together = []string{r.part.id}
+		ambiguous := !r.proven() && r.compare(list, begun)
+		if ambiguous && others == 0 {
+			r.verdict = Suspected
+		}
+		r.settled = !ambiguous && len(r.together) == 1 && r.begunDeaths() >= settlingDeaths
+	}
+}
+
+// begunDeaths returns how many of the deaths came after the answer had begun.
+func (r *record) begunDeaths() int {
+	count := 0
+	for _, d := range r.deaths {
+		if d.begun {
+			count++
+		}
+	}
+	return count
+}
+
 // compare finds the parts that no request has survived and that all the deaths have in
 // common. It reports whether the deaths don't suffice for a verdict without those of which
 // another such part may as well be the cause, one that has fewer deaths and at least two
