--- a/poison/parts.go
+++ b/poison/parts.go
@@ -16,6 +16,9 @@
 	seenInterval = 10 * time.Minute
 	// newsTime is how long others are told of a change: several exchanges.
 	newsTime = 5 * time.Second
+	// survivalNewsTime is how long after the last death others are told that requests with
+	// the part survive.
+	survivalNewsTime = 10 * time.Second
 	// maxParts bounds the parts with evidence, maxDeaths the deaths of each.
 	maxParts  = 2048
 	maxDeaths = 32
@@ -65,7 +68,7 @@
 	// survivals counts by service the requests that survived.
 	survivals map[cardamom.ServiceID]int
 	// running are the parts of suspected requests in flight at this instance.
-	running map[Part]int
+	running map[Part]bool
 	// sound are the parts that the operator declares sound.
 	sound map[Part]bool
 	// tries means that this instance may let requests through for trial.
@@ -77,7 +80,7 @@
 func NewParts() *Parts {
 	return &Parts{
 		records: make(map[Part]*record), survivors: make(map[Part]time.Time), olderSurvivors: make(map[Part]time.Time),
-		survivals: make(map[cardamom.ServiceID]int), running: make(map[Part]int), onChange: func() {},
+		survivals: make(map[cardamom.ServiceID]int), running: make(map[Part]bool), onChange: func() {},
 	}
 }
 
@@ -136,7 +139,10 @@
 		p.remember(part, now)
 		if r, ok := p.records[part]; ok {
 			cleared = cleared || len(r.deaths) > 0
-			r.survived, r.deaths, r.changed = now, nil, now
+			if len(r.deaths) > 0 || now.Sub(r.seen) < survivalNewsTime {
+				r.changed = now
+			}
+			r.survived, r.deaths = now, nil
 		}
 	}
 	if !cleared && !p.waits() {
@@ -294,10 +300,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	part := Part{service, id}
-	if p.running[part] > 0 {
+	if p.running[part] {
 		return false
 	}
-	p.running[part]++
+	p.running[part] = true
 	return true
 }
 
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -138,6 +138,16 @@
 		Expect(verdict).To(Equal(poison.Clean))
 	})
 
+	It("has no news of a part once requests with it have survived for some time", func() {
+		parts := poison.NewParts()
+		die(parts, "good", "u1", began)
+		for s := range 20 {
+			parts.Survived("s", []string{"good"}, began.Add(time.Duration(s+1)*time.Second))
+		}
+		Expect(parts.News(began.Add(9 * time.Second))).To(HaveLen(1))
+		Expect(parts.News(began.Add(20 * time.Second))).To(BeEmpty())
+	})
+
 	It("sends one request with a suspected part at a time", func() {
 		parts := poison.NewParts()
 		Expect(parts.Begin("s", "bad")).To(BeTrue())
