--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// merge adds what another instance knows, and reports whether that was new.
-func (e *Evidence) merge(other Evidence) bool {
+// learn adds what another instance knows, and reports whether that was new.
+func (e *Evidence) learn(other Evidence) bool {
 	before, count := *e, len(e.deaths)
 	if other.seen.After(e.seen) {
 		e.seen = other.seen
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -212,7 +212,7 @@
 	if len(r.deaths) == 0 {
 		r.survivalsBefore = p.survivals[e.part.service]
 	}
-	if r.Evidence.merge(e) || !ok {
+	if r.learn(e) || !ok {
 		r.changed = now
 	}
 }
