--- a/coord/notice.go
+++ b/coord/notice.go
@@ -40,15 +40,18 @@
 	}
 }
 
-// pruneNotices drops the notices of runs that ended.
+// pruneNotices drops the notices that ended.
 func (l *Loop) pruneNotices(now time.Time) {
-	l.options.Notices.Prune(func(id cardamom.UpstreamID) (int64, bool) {
+	ended := l.options.Notices.Prune(func(id cardamom.UpstreamID) (int64, bool) {
 		upstream, ok := l.state.upstreams[id]
 		if !ok {
 			return 0, false
 		}
 		return upstream.StartedMs, true
 	}, now)
+	for _, run := range ended {
+		l.logger.Info("upstream_wait", "upstream", run.ID(), "change", "ended")
+	}
 }
 
 func encodeRuns(runs []notice.Run) []*syncpb.UpstreamRun {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -114,7 +114,7 @@
 	for id, known := range b.leaving {
 		runs = append(runs, Run{id, known.startedMs})
 	}
-	slices.SortFunc(runs, func(x, y Run) int { return strings.Compare(string(x.id), string(y.id)) })
+	sortRuns(runs)
 	return runs
 }
 
@@ -169,9 +169,10 @@
 	return true
 }
 
-// Prune removes notices of runs that ended: those that were last said long ago, and those
-// with a later run. startedMs returns when the listed run of an upstream began.
-func (b *Book) Prune(startedMs func(id cardamom.UpstreamID) (int64, bool), now time.Time) {
+// Prune removes notices that ended: waits at their time, leaves that were last said long
+// ago, and all of a run with a later one. startedMs returns when the listed run of an
+// upstream began. It returns the runs whose wait has ended, sorted by ID.
+func (b *Book) Prune(startedMs func(id cardamom.UpstreamID) (int64, bool), now time.Time) []Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, known := range b.leaving {
@@ -179,9 +180,11 @@
 			delete(b.leaving, id)
 		}
 	}
+	var ended []Run
 	for id, known := range b.waits {
 		if listed, ok := startedMs(id); !ok || listed > known.startedMs || !known.until.After(now) {
 			delete(b.waits, id)
+			ended = append(ended, Run{id, known.startedMs})
 		}
 	}
 	for id := range b.invalid {
@@ -189,4 +192,10 @@
 			delete(b.invalid, id)
 		}
 	}
+	sortRuns(ended)
+	return ended
+}
+
+func sortRuns(runs []Run) {
+	slices.SortFunc(runs, func(x, y Run) int { return strings.Compare(string(x.id), string(y.id)) })
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -110,7 +110,8 @@
 			book.Wait(notice.NewRun(cardamom.UpstreamID(fmt.Sprint(n)), 1), time.Second, now)
 		}
 		Expect(book.Waiting(now)).To(BeNumerically("<=", 8192))
-		book.Prune(func(cardamom.UpstreamID) (int64, bool) { return 1, true }, now.Add(time.Second))
+		ended := book.Prune(func(cardamom.UpstreamID) (int64, bool) { return 1, true }, now.Add(time.Second))
 		Expect(book.Waiting(now)).To(BeZero())
+		Expect(ended).To(HaveLen(8192))
 	})
 })
