--- a/coord/parts.go
+++ b/coord/parts.go
@@ -16,6 +16,8 @@
 	maxSentParts = 128
 	// maxStoredParts bounds the parts in the lease row.
 	maxStoredParts = 32
+	// maxStoredDeaths bounds the deaths of each of them: more than decide a verdict.
+	maxStoredDeaths = 8
 	// partsExchangeGap is the time without an exchange after which instances tell each
 	// other everything they know of parts again.
 	partsExchangeGap = 3 * time.Second
@@ -174,9 +176,6 @@
 	return stored
 }
 
-// maxStoredDeaths bounds the deaths of a part in the lease row.
-const maxStoredDeaths = 8
-
 func decodeStoredParts(stored []wirePart, now time.Time) []poison.Evidence {
 	parts := make([]poison.Evidence, 0, len(stored))
 	for _, wire := range stored {
@@ -188,6 +187,7 @@
 		}
 		var survived, tried time.Time
 		if wire.Survived {
+			// The row doesn't say when: before the deaths that it has.
 			survived = before(oldest+1, now)
 		}
 		if wire.Trials > 0 {
