Refuse a part that always dies, whatever else explains its deaths

Cause: a death that has a refused part speaks against no other. With several parts each engine ends with two or three of them on it. A part with many deaths is refused and is taken back when others, which have fewer, are refused and explain its deaths one by one (logs: bad2 refused, not refused, refused again within 2 s).

Fix: five engines that ended after the beginning of an answer with a part, at three moments, while eight requests without it survived and none with it, refuse the part without a look at the others. The guard keeps a part that all prompts share from it.

--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -104,6 +104,9 @@
 	// prompts.
 	provenRefusalPoints = 4 * begunPoints
 	provenDeathGap      = 250 * time.Millisecond
+	// maxExplainedDeaths is how many upstreams may end while they begin an answer with a part
+	// before it no longer counts that other parts explain it.
+	maxExplainedDeaths = 5
 	// provenOthers is how many requests without such a part have survived since its first
 	// death. When all of a service fails, its shared parts have no survivors either.
 	provenOthers = 8
@@ -134,6 +137,29 @@
 	return points
 }
 
+// alwaysDies reports whether the part is refused whatever else explains its deaths: so many
+// upstreams ended while they began an answer with it, at as many moments as a verdict needs,
+// and requests survive without it, none with it.
+func (e *Evidence) alwaysDies(begun map[string]bool, others int) bool {
+	needed := refusalPoints
+	if e.proven() {
+		needed = provenRefusalPoints
+	}
+	explained := func(Death) bool { return false }
+	return e.begunDeaths() >= maxExplainedDeaths && others >= provenOthers && e.points(explained, begun) >= needed
+}
+
+// begunDeaths returns how many of the deaths came after the answer had begun.
+func (e *Evidence) begunDeaths() int {
+	count := 0
+	for _, d := range e.deaths {
+		if d.begun {
+			count++
+		}
+	}
+	return count
+}
+
 // apart reports whether a death counts beside one that was noticed at a time before it.
 func (e *Evidence) apart(last time.Time, d Death) bool {
 	if e.proven() {
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -73,13 +73,15 @@
 
 // settle finishes the verdict with what is known of the other parts. One on strong evidence
 // that holds without a look at them stays until a request with the part survives, also if
-// another part turns out to explain some of the deaths.
+// another part turns out to explain some of the deaths. So does one on a part that always dies.
 func (r *record) settle(list []*record, begun map[string]bool, others int) {
 	switch {
 	case len(r.deaths) == 0:
 		r.settled = false
 	case r.settled:
 		r.verdict = Refused
+	case r.alwaysDies(begun, others):
+		r.verdict, r.settled, r.together = Refused, true, []string{r.part.id}
 	case r.verdict == Refused:
 		r.together = []string{r.part.id}
 		ambiguous := !r.proven() && r.compare(list, begun)
@@ -90,17 +92,6 @@
 	}
 }
 
-// begunDeaths returns how many of the deaths came after the answer had begun.
-func (r *record) begunDeaths() int {
-	count := 0
-	for _, d := range r.deaths {
-		if d.begun {
-			count++
-		}
-	}
-	return count
-}
-
 // compare finds the parts that no request has survived and that all the deaths have in
 // common. It reports whether the deaths don't suffice for a verdict without those of which
 // another such part may as well be the cause, one that has fewer deaths and at least two
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -160,7 +160,7 @@
 // waits reports whether the verdict on a part waits for requests without it to survive.
 func (p *Parts) waits() bool {
 	for _, r := range p.records {
-		if r.verdict == Suspected && len(r.deaths)*begunPoints >= refusalPoints {
+		if r.verdict != Refused && len(r.deaths)*begunPoints >= refusalPoints {
 			return true
 		}
 	}
