Tell other instances of a verdict that stays

Cause: instances exchange deaths and survivals of a part, not the verdict. What requests without it have survived is known to each for itself, and decides whether other parts may explain the deaths. So the same deaths refuse at one instance only.

Fix: exchanges, direct notices and the lease row say that an instance has settled on a part. Others take it over unless they know of a survival that it doesn't know; a survival ends it for all as before.

Three tests fail before (two without taking it over, one without the comparison of survivals).

--- a/coord/parts.go
+++ b/coord/parts.go
@@ -93,7 +93,7 @@
 		trials, tried := e.Trials()
 		wire := &syncpb.PartEvidence{
 			Service: string(e.Part().Service()), Part: e.Part().ID(), Survived: !e.Survived().IsZero(),
-			SeenAgeMs: ageMS(e.Seen(), now), Trials: int32(trials), TriedAgeMs: ageMS(tried, now), SurvivedAgeMs: ageMS(e.Survived(), now),
+			SeenAgeMs: ageMS(e.Seen(), now), Trials: int32(trials), TriedAgeMs: ageMS(tried, now), SurvivedAgeMs: ageMS(e.Survived(), now), Settled: e.Settled(),
 		}
 		for _, d := range e.Deaths() {
 			wire.Deaths = append(wire.Deaths, &syncpb.PartDeath{Name: d.Name(), SentAgeMs: ageMS(d.Sent(), now), AgeMs: ageMS(d.At(), now), Begun: d.Begun()})
@@ -118,7 +118,7 @@
 			tried = before(wire.GetTriedAgeMs(), now)
 		}
 		part := poison.NewPart(cardamom.ServiceID(wire.GetService()), wire.GetPart())
-		parts = append(parts, poison.NewEvidence(part, deaths, survived, before(wire.GetSeenAgeMs(), now), int(wire.GetTrials()), tried))
+		parts = append(parts, poison.NewEvidence(part, deaths, survived, before(wire.GetSeenAgeMs(), now), int(wire.GetTrials()), tried, wire.GetSettled()))
 	}
 	return parts
 }
@@ -143,6 +143,7 @@
 	Part     string      `json:"part"`
 	Deaths   []wireDeath `json:"deaths"`
 	Survived bool        `json:"survived,omitempty"`
+	Settled  bool        `json:"settled,omitempty"`
 	Trials   int         `json:"trials,omitempty"`
 	// SeenMS is the age of the evidence, and TriedMS that of the last trial, in milliseconds.
 	SeenMS  int64 `json:"seen_ms"`
@@ -165,7 +166,7 @@
 		}
 		trials, tried := e.Trials()
 		wire := wirePart{
-			Service: string(e.Part().Service()), Part: e.Part().ID(), Survived: !e.Survived().IsZero(),
+			Service: string(e.Part().Service()), Part: e.Part().ID(), Survived: !e.Survived().IsZero(), Settled: e.Settled(),
 			Trials: trials, SeenMS: ageMS(e.Seen(), now), TriedMS: ageMS(tried, now),
 		}
 		for _, d := range e.Deaths()[:min(len(e.Deaths()), maxStoredDeaths)] {
@@ -194,7 +195,7 @@
 			tried = before(wire.TriedMS, now)
 		}
 		part := poison.NewPart(cardamom.ServiceID(wire.Service), wire.Part)
-		parts = append(parts, poison.NewEvidence(part, deaths, survived, before(wire.SeenMS, now), wire.Trials, tried))
+		parts = append(parts, poison.NewEvidence(part, deaths, survived, before(wire.SeenMS, now), wire.Trials, tried, wire.Settled))
 	}
 	return parts
 }
--- a/coord/parts_internal_test.go
+++ b/coord/parts_internal_test.go
@@ -103,6 +103,26 @@
 		Expect(after.partVerdict("other", now)).To(Equal(poison.Clean))
 	})
 
+	It("are refused by all once one has settled on them, also after all have started again", func() {
+		now := clock.Now()
+		coordinator, member := newLoop("a", site.OrderAccepted), newLoop("b", site.OrderAccepted)
+		coordinator.becomeCoordinator()
+		for n := range 6 {
+			at := now.Add(time.Duration(n-6) * time.Second)
+			death := poison.NewDeath(fmt.Sprint(n), at.Add(-time.Millisecond), at, true)
+			member.options.Parts.Died("s", []string{[]string{"a", "b"}[n/3]}, death, at)
+			member.options.Parts.Died("s", []string{"c"}, death, at)
+			member.options.Parts.Survived("s", []string{"good"}, at)
+			member.options.Parts.Survived("s", []string{"good"}, at)
+		}
+		Expect(member.partVerdict("c", now)).To(Equal(poison.Refused))
+		coordinator.exchange(member.report(member.options.Demand.Take()), now)
+		Expect(coordinator.partVerdict("c", now)).To(Equal(poison.Refused))
+		after := newLoop("c", site.OrderAccepted)
+		after.decodeLease(table.NewRow(leaseKey, coordinator.encodeLease(lease.Row{Holder: "a", Address: "a:2"}), 9))
+		Expect(after.partVerdict("c", now)).To(Equal(poison.Refused))
+	})
+
 	It("take a bounded part of the lease row, those with the most deaths first", func() {
 		now := clock.Now()
 		l := newLoop("a", site.OrderAccepted)
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -64,11 +64,13 @@
 	// when the last of them was.
 	trials int
 	tried  time.Time
+	// settled means that the part is refused until a request with it survives.
+	settled bool
 }
 
 // NewEvidence returns evidence received from another instance.
-func NewEvidence(part Part, deaths []Death, survived, seen time.Time, trials int, tried time.Time) Evidence {
-	return Evidence{part, deaths, survived, seen, trials, tried}
+func NewEvidence(part Part, deaths []Death, survived, seen time.Time, trials int, tried time.Time, settled bool) Evidence {
+	return Evidence{part, deaths, survived, seen, trials, tried, settled}
 }
 
 // Part returns the part.
@@ -87,6 +89,9 @@
 // the last of them was.
 func (e Evidence) Trials() (int, time.Time) { return e.trials, e.tried }
 
+// Settled reports whether the part is refused until a request with it survives.
+func (e Evidence) Settled() bool { return e.settled }
+
 const (
 	// begunPoints and waitingPoints are what a death counts, by whether the answer had begun.
 	// An engine that crashes on a part has begun to answer. Where no answer had, the last
@@ -192,7 +197,7 @@
 		e.trials, e.tried = other.trials, other.tried
 	}
 	if other.survived.After(e.survived.Add(survivalTolerance)) {
-		e.survived = other.survived
+		e.survived, e.settled = other.survived, false
 		e.deaths = slices.DeleteFunc(slices.Clone(e.deaths), func(d Death) bool { return !d.at.After(e.survived) })
 	}
 	added := false
@@ -204,5 +209,9 @@
 		}
 	}
 	slices.SortStableFunc(e.deaths, func(a, b Death) int { return a.at.Compare(b.at) })
-	return added || len(e.deaths) != count || e.trials != before.trials || e.proven() != before.proven()
+	// One that doesn't know of a survival has settled on older deaths.
+	if other.settled && len(e.deaths) > 0 && !e.survived.After(other.survived.Add(survivalTolerance)) {
+		e.settled = true
+	}
+	return added || len(e.deaths) != count || e.trials != before.trials || e.proven() != before.proven() || e.settled != before.settled
 }
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -10,8 +10,6 @@
 type record struct {
 	Evidence
 	verdict Verdict
-	// settled means that the part is refused until a request with it survives.
-	settled bool
 	// together are the parts that all the deaths have in common and that no request has
 	// survived. Any of them may be the cause, so prompts are refused that have all.
 	together []string
@@ -39,7 +37,7 @@
 // judge decides on all parts anew. A death that has a refused part speaks against no
 // other part, so the parts with the fewest deaths go first: a part that sound prompts
 // share has the deaths of other parts besides.
-func (p *Parts) judge() []Change {
+func (p *Parts) judge(now time.Time) []Change {
 	list := make([]*record, 0, len(p.records))
 	begun := make(map[string]bool)
 	for _, r := range p.records {
@@ -52,13 +50,16 @@
 	explained := make(map[string]*record)
 	var changes []Change
 	for _, r := range list {
-		before := r.verdict
+		before, wasSettled := r.verdict, r.settled
 		others := p.survivals[r.part.service] - r.survivalsBefore
 		r.verdict = r.judge(func(d Death) bool {
 			by, ok := explained[d.name]
 			return ok && !slices.Contains(by.together, r.part.id)
 		}, begun, others)
 		r.settle(list, begun, others)
+		if r.settled && !wasSettled {
+			r.changed = now
+		}
 		if r.verdict == Refused {
 			for _, d := range r.deaths {
 				explained[d.name] = r
@@ -79,7 +80,7 @@
 	case len(r.deaths) == 0:
 		r.settled = false
 	case r.settled:
-		r.verdict = Refused
+		r.verdict, r.together = Refused, []string{r.part.id}
 	case r.alwaysDies(begun, others):
 		r.verdict, r.settled, r.together = Refused, true, []string{r.part.id}
 	case r.verdict == Refused:
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -119,7 +119,7 @@
 	for _, id := range parts {
 		p.merge(Evidence{part: Part{service, id}, deaths: []Death{death}, seen: now}, now)
 	}
-	changes, notify := p.judge(), p.onChange
+	changes, notify := p.judge(now), p.onChange
 	p.mu.Unlock()
 	notify()
 	return changes
@@ -149,9 +149,9 @@
 		p.mu.Unlock()
 		return nil
 	}
-	changes, notify := p.judge(), p.onChange
+	changes, notify := p.judge(now), p.onChange
 	p.mu.Unlock()
-	if cleared {
+	if cleared || len(changes) > 0 {
 		notify()
 	}
 	return changes
@@ -194,7 +194,7 @@
 	for _, e := range list {
 		p.merge(e, now)
 	}
-	return p.judge()
+	return p.judge(now)
 }
 
 func (p *Parts) merge(e Evidence, now time.Time) {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -125,6 +125,48 @@
 		}
 	})
 
+	// dieTogether records three rounds of deaths that two parts share, each with one more
+	// part besides, while requests without them survive.
+	dieTogether := func(parts *poison.Parts, shared string, now time.Time) {
+		for n := range 6 {
+			at := now.Add(time.Duration(n) * time.Second)
+			death := poison.NewDeath(fmt.Sprintf("u%d", n), at.Add(-time.Millisecond), at, true)
+			parts.Died("s", []string{[]string{"a", "b"}[n/3]}, death, at)
+			parts.Died("s", []string{shared}, death, at)
+			parts.Survived("s", []string{"good"}, at)
+			parts.Survived("s", []string{"good"}, at)
+		}
+	}
+
+	It("refuses a part on which another instance has settled, though here others explain its deaths", func() {
+		here, there := poison.NewParts(), poison.NewParts()
+		now := began.Add(7 * time.Second)
+		dieTogether(there, "c", began)
+		news := there.News(now)
+		here.Merge(news, now)
+		verdict, _ := here.Verdict("s", []string{"c"}, now)
+		Expect(verdict).To(Equal(poison.Refused))
+
+		here.Survived("s", []string{"c"}, now)
+		here.Merge(news, now.Add(time.Second))
+		verdict, _ = here.Verdict("s", []string{"c"}, now.Add(time.Second))
+		Expect(verdict).To(Equal(poison.Clean))
+		there.Merge(here.News(now), now)
+		verdict, _ = there.Verdict("s", []string{"c"}, now)
+		Expect(verdict).To(Equal(poison.Clean))
+	})
+
+	It("doesn't settle with another instance that knows of no survival", func() {
+		here, there := poison.NewParts(), poison.NewParts()
+		now := began.Add(7 * time.Second)
+		dieTogether(there, "c", began)
+		here.Survived("s", []string{"c"}, now)
+		die(here, "c", "later", now.Add(time.Second))
+		here.Merge(there.News(now), now.Add(2*time.Second))
+		verdict, _ := here.Verdict("s", []string{"c"}, now.Add(2*time.Second))
+		Expect(verdict).NotTo(Equal(poison.Refused))
+	})
+
 	It("clears a part that requests have survived elsewhere since", func() {
 		here, there := poison.NewParts(), poison.NewParts()
 		for n := range 3 {
