Play leaving engines and waits in the load test

What was missing: in virtual time engines left without a word, and none asked for a wait, so that nothing showed what either does to a load.

Engines that leave say so in their answers; a fault may have the platform list it as late as wanted. A new fault has engines turn requests away and ask for a wait. The instances use the same book as the product, whose question (may it get a request, or when) moves there.

--- a/notice/notice.go
+++ b/notice/notice.go
@@ -144,6 +144,19 @@
 	return known.until, ok && known.startedMs == run.startedMs && known.until.After(now)
 }
 
+// MayGet reports whether a run of an upstream may get requests by what it says of itself,
+// or else when it may again, zero if never.
+func (b *Book) MayGet(run Run, now time.Time) (may bool, until time.Time) {
+	if b.IsLeaving(run) {
+		return false, time.Time{}
+	}
+	until, waits := b.WaitUntil(run, now)
+	if waits {
+		return false, until
+	}
+	return true, time.Time{}
+}
+
 // Waiting returns how many upstreams want no requests now.
 func (b *Book) Waiting(now time.Time) int {
 	b.mu.Lock()
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -42,15 +42,7 @@
 // mayGet reports whether an upstream may get requests by what it says of itself, or else
 // when it may again, zero if never.
 func (s *Server) mayGet(upstream *site.Upstream) (bool, time.Time) {
-	run := notice.NewRun(upstream.ID, upstream.StartedMs)
-	if s.Notices.IsLeaving(run) {
-		return false, time.Time{}
-	}
-	until, waits := s.Notices.WaitUntil(run, clock.Now())
-	if waits {
-		return false, until
-	}
-	return true, time.Time{}
+	return s.Notices.MayGet(notice.NewRun(upstream.ID, upstream.StartedMs), clock.Now())
 }
 
 // awaitNotice waits a moment where the only upstreams that could run the request want none
--- a/simul/coordinator.go
+++ b/simul/coordinator.go
@@ -5,6 +5,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
@@ -31,6 +32,7 @@
 	waiting []waiter
 	limits  *quota.Book
 	permits *quota.Queue
+	notices *notice.Book
 }
 
 // waiter is an instance that waits for a model.
@@ -47,8 +49,9 @@
 	return c
 }
 
-// startLimits begins without any limits and permits.
+// startLimits begins without any limits, permits and notices.
 func (c *coordinator) startLimits() {
+	c.notices = notice.NewBook()
 	c.limits = quota.NewBook()
 	c.permits = quota.NewQueue(c.limits)
 }
--- a/simul/engine.go
+++ b/simul/engine.go
@@ -24,6 +24,11 @@
 	onEvent    func(last bool)
 	// onEnd is called if the engine does not run the request or loses it.
 	onEnd func(ran bool)
+	// instance is the one that sent it, asked when its caller did.
+	instance *instance
+	asked    time.Time
+	// wait is the wait that the engine asked for when it turned it away.
+	wait time.Duration
 }
 
 // engine is a model server: it runs requests in a batch, reads prompts between their
@@ -44,6 +49,7 @@
 	limit *float64
 	// arrivals are when requests arrived.
 	arrivals []time.Time
+	told     told
 	// unloading is the model whose unload waits for its runs.
 	unloading cardamom.ModelID
 }
@@ -57,6 +63,10 @@
 // submit adds a request, or rejects it.
 func (e *engine) submit(r *run, now time.Time) {
 	e.arrivals = append(e.arrivals, now)
+	if !e.down && e.arrived(r, now) {
+		r.onEnd(false)
+		return
+	}
 	_, loaded := e.Loaded[r.model]
 	if e.down || !loaded || e.unloading == r.model || len(e.queue)+len(e.batch) >= e.spec.Slots*3 {
 		r.onEnd(false)
@@ -241,6 +251,7 @@
 	e.down, e.step = false, false
 	e.StartedMs = now.UnixMilli()
 	e.RegistrationSeq = 1
+	e.told = told{leaving: make(map[*instance]time.Time)}
 	e.report = nil
 	e.changed(now)
 }
--- a/simul/exchange.go
+++ b/simul/exchange.go
@@ -86,7 +86,11 @@
 	if i.play.without["hold"] {
 		window = 0
 	}
-	candidates := i.candidates(x, now)
+	candidates, freeAt := i.candidates(x, now)
+	if len(candidates) == 0 && !freeAt.IsZero() {
+		x.awaitNotice(freeAt, now)
+		return
+	}
 	choice := pick.Choose(pick.Request{
 		Tokens: x.prompt, Window: window, Age: now.Sub(x.arrived), Target: x.route.TargetLatency, Remaining: x.remaining(now),
 	}, candidates)
@@ -112,8 +116,13 @@
 	}
 }
 
-// sendOnce sends the request, if it is sent again only within the retry budget.
+// sendOnce sends the request, if it is sent again only within the retry budget. What the
+// engine has said meanwhile makes the request look for another.
 func (x *exchange) sendOnce(e *engine, now time.Time) {
+	if may, _ := x.instance.mayGet(&e.Upstream, now); !may {
+		x.decide(now)
+		return
+	}
 	if x.sends > 0 && !x.instance.budget.AllowRetry(service, now).Allowed {
 		x.refuse("retry_budget", shortRetryAfter)
 		return
@@ -172,7 +181,7 @@
 	if i.play.without["priority"] {
 		priority = 5
 	}
-	r := &run{model: x.model, priority: priority, prompt: x.prompt, output: x.caller.output}
+	r := &run{model: x.model, priority: priority, prompt: x.prompt, output: x.caller.output, instance: i, asked: x.arrived}
 	x.engine, x.run, x.lastEvent = e, r, time.Time{}
 	r.onEvent = func(last bool) {
 		i.play.events.after(hop, func(now time.Time) { x.event(r, last, now) })
@@ -205,6 +214,7 @@
 	i := x.instance
 	if x.lastEvent.IsZero() {
 		i.limits.State(&x.engine.Upstream, x.engine.rateLimit(), now)
+		i.recordLeave(x.engine, now)
 	}
 	x.wait.FirstEvent(now)
 	i.health.Succeeded(x.engine.ID, now)
@@ -234,6 +244,8 @@
 	x.rejected++
 	if !e.down {
 		i.limits.State(&e.Upstream, e.rateLimit(), now)
+		i.recordLeave(e, now)
+		i.notices.Wait(noticeRun(&e.Upstream), r.wait, now)
 	}
 	if e.down {
 		i.health.Failed(e.ID, health.Unreachable, now)
--- a/simul/instance.go
+++ b/simul/instance.go
@@ -8,6 +8,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/quota"
@@ -44,6 +45,7 @@
 	health       *health.Tracker
 	budget       *retry.Budget
 	limits       *quota.Book
+	notices      *notice.Book
 	view         map[cardamom.UpstreamID]*site.Upstream
 	others       map[cardamom.UpstreamID]demand.Upstream
 	since        uint64
@@ -64,7 +66,9 @@
 	i.down = false
 	i.demand, i.pace, i.health, i.budget = demand.New(), pace.New(), health.New(), retry.New(retryLimits, i.play.choices.Float64())
 	i.view, i.others, i.since = make(map[cardamom.UpstreamID]*site.Upstream), nil, 0
-	i.limits = quota.NewBook()
+	i.limits, i.notices = quota.NewBook(), notice.NewBook()
+	i.notices.OnLeave(func(notice.Run) { i.exchangeSoon() })
+	i.play.forget(i)
 	i.missing, i.open = make(map[missingKey]time.Time), nil
 	if !i.play.without["early"] {
 		i.demand.OnStart(func(demand.Key) { i.exchangeSoon() })
@@ -114,8 +118,9 @@
 // exchange reports to the coordinator and takes over what changed.
 func (i *instance) exchange(now time.Time) {
 	i.lastExchange = now
-	report, since, starts, limits := i.demand.Take(), i.since, i.starts, i.limits.Limits()
+	report, since, starts, limits, leaving := i.demand.Take(), i.since, i.starts, i.limits.Limits(), i.notices.Leaving()
 	i.play.events.after(hop, func(now time.Time) {
+		i.play.coordinator.mergeLeaves(leaving, now)
 		changed, version, others := i.play.coordinator.exchange(i.number, report, since, now)
 		i.play.coordinator.limits.Merge(limits)
 		known := i.play.coordinator.limits.Limits()
@@ -137,19 +142,25 @@
 	}
 }
 
-// candidates returns the engines that could run a request for the model.
-func (i *instance) candidates(x *exchange, now time.Time) []pick.Candidate {
-	var list []pick.Candidate
+// candidates returns the engines that could run a request for the model now, and when the
+// first of those that want no requests for a time wants some again, zero if there are none.
+func (i *instance) candidates(x *exchange, now time.Time) (list []pick.Candidate, freeAt time.Time) {
 	for _, e := range i.play.order {
 		upstream, ok := i.view[e.ID]
 		if !ok || upstream.State != cardamom.Live || !upstream.HasLoaded(x.model, "") || now.Before(i.missing[missingKey{e.ID, x.model}]) {
 			continue
 		}
+		if may, until := i.mayGet(upstream, now); !may {
+			if !until.IsZero() && (freeAt.IsZero() || until.Before(freeAt)) {
+				freeAt = until
+			}
+			continue
+		}
 		list = append(list, pick.Candidate{
 			ID: e.ID, Running: i.demand.Running(e.ID) + i.others[e.ID].Running, Limit: upstream.Slots, FailureRate: i.health.Rate(e.ID, now),
 			OtherFailures: i.others[e.ID].Failures, Suspended: i.health.Suspended(e.ID, now), SameDataCentre: true, Expected: i.pace.Expected(e.ID, now),
 			RecentTokens: i.pace.RecentTokens(e.ID, x.route.TargetGap, now), Avoided: x.avoided[e.ID], RateLimited: !i.play.without["permits"] && i.limits.IsFresh(upstream, now),
 		})
 	}
-	return list
+	return list, freeAt
 }
--- a/simul/play.go
+++ b/simul/play.go
@@ -40,8 +40,9 @@
 type Option func(p *play)
 
 // mechanisms are those that can be switched off: prompts held back, early exchanges,
-// urgent requests first at engines, and permits for engines with a rate limit.
-var mechanisms = []string{"hold", "early", "priority", "permits"}
+// urgent requests first at engines, permits for engines with a rate limit, and regard for
+// engines that say that they leave or ask for a wait.
+var mechanisms = []string{"hold", "early", "priority", "permits", "notices"}
 
 // Mechanisms returns the names of the mechanisms that Without switches off.
 func Mechanisms() string { return strings.Join(mechanisms, ", ") }
@@ -122,7 +123,7 @@
 			Upstream: cardamom.Upstream{ID: cardamom.UpstreamID(fmt.Sprintf("e%03d", n)), Service: service, State: cardamom.Live},
 			Slots:    wire.Slots, StartedMs: 1, RegistrationSeq: 1,
 			Loaded: make(map[cardamom.ModelID][]string), OnDisk: make(map[cardamom.ModelID]bool),
-		}}
+		}, told: told{leaving: make(map[*instance]time.Time)}}
 		p.order = append(p.order, e)
 		p.engines[e.ID] = e
 	}
@@ -242,6 +243,8 @@
 				p.restart(ms(f.ForMS))
 			case "limit":
 				p.nameLimit(f, now)
+			case "wait":
+				p.askToWait(f, now)
 			default:
 				for range max(f.Count, 1) {
 					p.lose(f)
@@ -270,9 +273,14 @@
 	})
 }
 
+// liveEngines returns the engines that run and don't leave.
+func (p *play) liveEngines() []*engine {
+	return slices.DeleteFunc(slices.Clone(p.order), func(e *engine) bool { return e.down || e.gone || e.State != cardamom.Live })
+}
+
 // lose makes a random live engine crash or leave.
 func (p *play) lose(f faultWire) {
-	live := slices.DeleteFunc(slices.Clone(p.order), func(e *engine) bool { return e.down || e.gone || e.State != cardamom.Live })
+	live := p.liveEngines()
 	if len(live) == 0 {
 		return
 	}
@@ -287,8 +295,8 @@
 		return
 	}
 	e.State = cardamom.Leaving
-	p.coordinator.listed(e, listingDelay)
-	p.events.after(drainTime, func(time.Time) {
+	p.coordinator.listed(e, cmp.Or(ms(f.ListedAfterMS), listingDelay))
+	p.events.after(cmp.Or(ms(f.ForMS), drainTime), func(time.Time) {
 		e.gone = true
 		e.crash()
 		p.coordinator.listed(e, listingDelay)
--- a/simul/result.go
+++ b/simul/result.go
@@ -29,6 +29,12 @@
 	// OverLimit is the greatest number of requests beyond what the rate limit of an engine
 	// allows within its window, 0 if there was none.
 	OverLimit float64
+	// AfterLeave is how many requests reached an engine from an instance that had long passed
+	// on that it leaves.
+	AfterLeave int
+	// InWait is the greatest number of requests beyond those allowed that reached an engine
+	// from an instance within a wait that it had asked for.
+	InWait int
 }
 
 // Window is what the requests of a span of time got.
@@ -133,6 +139,6 @@
 	for _, w := range r.Windows {
 		shares = append(shares, fmt.Sprintf("%.2f", w.Share()))
 	}
-	_, err := fmt.Fprintf(out, "in target by %s: %s\nbeyond a rate limit: %.0f\n", windowLength, strings.Join(shares, " "), r.OverLimit)
+	_, err := fmt.Fprintf(out, "in target by %s: %s\nbeyond a rate limit: %.0f\nafter a leave: %d\nin a wait: %d\n", windowLength, strings.Join(shares, " "), r.OverLimit, r.AfterLeave, r.InWait)
 	return err
 }
--- a/simul/scenario.go
+++ b/simul/scenario.go
@@ -104,14 +104,17 @@
 type faultWire struct {
 	AtMS int64 `json:"at_ms"`
 	// Do is "crash" (engines lose what they hold and run, and return after ForMS),
-	// "leave" (engines drain and are gone), "restart" (all instances lose their
-	// requests and what they learned, and are back after ForMS), or "limit" (engines name
-	// the rate limit PerSecond for ForMS).
+	// "leave" (engines say so in their answers, are listed as leaving after ListedAfterMS
+	// and are gone after ForMS), "restart" (all instances lose their requests and what they
+	// learned, and are back after ForMS), "limit" (engines name the rate limit PerSecond for
+	// ForMS), or "wait" (engines turn requests away for ForMS and ask for a wait of WaitMS).
 	Do    string `json:"do"`
 	Count int    `json:"count"`
 	ForMS int64  `json:"for_ms"`
 	// PerSecond is a rate limit in requests a second.
-	PerSecond float64 `json:"per_s"`
+	PerSecond     float64 `json:"per_s"`
+	WaitMS        int64   `json:"wait_ms"`
+	ListedAfterMS int64   `json:"listed_after_ms"`
 }
 
 // Load reads a scenario file in JSON with comments.
--- a/simul/simul_test.go
+++ b/simul/simul_test.go
@@ -36,6 +36,9 @@
 	// OverLimit means that no engine may get more than its rate limit allows, and that one
 	// does without the mechanism.
 	OverLimit bool `json:"over_limit"`
+	// Notices means that no engine may get a request against what it says of itself, and that
+	// one does without the mechanism, in each of the two ways.
+	Notices bool `json:"notices"`
 	// LostAtMost bounds the requests of the kinds that got no whole response.
 	LostAtMost *int `json:"lost_at_most"`
 	// RecoveredWithinMS after BackAtMS, RecoveredShare of the share in target before
@@ -89,7 +92,20 @@
 	}
 	for _, c := range checks {
 		It(c.Name, func() {
-			if c.OverLimit {
+			switch {
+			case c.Notices:
+				without, err := simul.Without(c.Without)
+				Expect(err).NotTo(HaveOccurred())
+				scenario := load(c.Scenario)
+				for n := range c.Seeds {
+					result := simul.Play(scenario, scenario.Seed()+n)
+					Expect(result.AfterLeave).To(BeZero(), "seed %d", scenario.Seed()+n)
+					Expect(result.InWait).To(BeZero(), "seed %d", scenario.Seed()+n)
+					result = simul.Play(scenario, scenario.Seed()+n, without)
+					Expect(result.AfterLeave).To(BeNumerically(">", 0), "seed %d", scenario.Seed()+n)
+					Expect(result.InWait).To(BeNumerically(">", 0), "seed %d", scenario.Seed()+n)
+				}
+			case c.OverLimit:
 				without, err := simul.Without(c.Without)
 				Expect(err).NotTo(HaveOccurred())
 				scenario := load(c.Scenario)
@@ -97,7 +113,7 @@
 					Expect(simul.Play(scenario, scenario.Seed()+n).OverLimit).To(BeZero(), "seed %d", scenario.Seed()+n)
 					Expect(simul.Play(scenario, scenario.Seed()+n, without).OverLimit).To(BeNumerically(">", 0), "seed %d", scenario.Seed()+n)
 				}
-			} else if c.Without != "" {
+			case c.Without != "":
 				without, err := simul.Without(c.Without)
 				Expect(err).NotTo(HaveOccurred())
 				Expect(float64(c.count(c.Compare))).To(BeNumerically("<=", c.AtMost*float64(c.count(c.Compare, without))))
