Load a model elsewhere while its engines want no requests

What callers saw: a request for a model whose only copy is on an engine that asked for a wait was refused with the whole wait as Retry-After, or waited for its end, though another engine could have had the model within half a second.

Cause: only the instance that was told knew of the wait. For the coordinator the model was loaded and ready, so that its plan had nothing to do.

Fix: exchanges and questions for a model tell the coordinator the waits of each member. Its plan takes an engine for ready only after the last of them, counts it as away if a load elsewhere is sooner, and loads there. Requests for such a model ask the coordinator as if no engine had it, and go to whichever is first. The waits bind nobody else.

Tests of the plan, the coordinator, the relay and the load test fail before.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -153,6 +153,7 @@
 	request.NeedDocument = l.needDocument
 	request.Limits = encodeLimits(l.options.Limits.Limits(), clock.Now())
 	request.Leaving = encodeRuns(l.options.Notices.Leaving())
+	request.Waits = encodeWaits(l.options.Notices.Waits(clock.Now()), clock.Now())
 	request.Parts = l.partsFor(l.lastAnswered, clock.Now())
 	for key, m := range report.Models {
 		request.Demands = append(request.Demands, &syncpb.Demand{
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -151,6 +151,7 @@
 	options.Demand.OnStart(l.requestStarted)
 	options.Parts.OnChange(l.partsChanged)
 	options.Notices.OnLeave(l.leaveNoticed)
+	options.Notices.OnWait(l.waitNoticed)
 	return l
 }
 
--- a/coord/need.go
+++ b/coord/need.go
@@ -5,6 +5,7 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
@@ -72,6 +73,7 @@
 		Service: string(need.Service), Model: string(need.Model), Adapter: need.Adapter, Waiting: int32(need.Waiting),
 		HoldMs: need.CallTimeout.Milliseconds(), NeedMs: need.RemainingTime.Milliseconds(), Instance: string(l.options.ID),
 	}
+	request.Waits = encodeWaits(l.options.Notices.Waits(clock.Now()), clock.Now())
 	for _, id := range need.Unreachable {
 		request.Doubts = append(request.Doubts, string(id))
 	}
--- a/coord/notice.go
+++ b/coord/notice.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -9,6 +11,20 @@
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
+const (
+	// maxSentWaits bounds the waits in one message to another instance.
+	maxSentWaits = 256
+	// maxWait bounds a wait that another instance tells of.
+	maxWait = time.Hour
+)
+
+// waitNoticed makes the next exchange start early: the coordinator may have models loaded
+// elsewhere.
+func (l *Loop) waitNoticed() {
+	// The caller may be the control goroutine itself.
+	go l.post(func(time.Time) { l.reportSoon = true })
+}
+
 // leaveNoticed makes this instance treat an upstream that said in an answer that it leaves
 // as one that has registered so, and tell the coordinator at once.
 func (l *Loop) leaveNoticed(run notice.Run) {
@@ -42,13 +58,17 @@
 
 // pruneNotices drops the notices that ended.
 func (l *Loop) pruneNotices(now time.Time) {
-	ended := l.options.Notices.Prune(func(id cardamom.UpstreamID) (int64, bool) {
+	startedMs := func(id cardamom.UpstreamID) (int64, bool) {
 		upstream, ok := l.state.upstreams[id]
 		if !ok {
 			return 0, false
 		}
 		return upstream.StartedMs, true
-	}, now)
+	}
+	if l.term != nil {
+		l.term.waits.Prune(startedMs, now)
+	}
+	ended := l.options.Notices.Prune(startedMs, now)
 	for _, run := range ended {
 		l.logger.Info("upstream_wait", "upstream", run.ID(), "change", "ended")
 	}
@@ -70,3 +90,35 @@
 		l.applyLeave(run, "member", now)
 	}
 }
+
+// mergeWaits records the waits that upstreams asked a member for. They bind only that member,
+// but the plan has what requests need loaded elsewhere.
+func (t *term) mergeWaits(list []*syncpb.UpstreamWait, now time.Time) {
+	for _, wire := range list {
+		remaining := min(time.Duration(wire.GetRemainingMs())*time.Millisecond, maxWait)
+		t.waits.Wait(notice.NewRun(cardamom.UpstreamID(wire.GetUpstream()), wire.GetBorn()), remaining, now)
+	}
+}
+
+// planWaits returns until when upstreams want no requests, as the plans take it.
+func (t *term) planWaits(now time.Time) map[cardamom.UpstreamID]time.Time {
+	until := make(map[cardamom.UpstreamID]time.Time)
+	for run, end := range t.waits.Waits(now) {
+		if upstream, ok := t.loop.state.upstreams[run.ID()]; ok && upstream.StartedMs == run.StartedMs() {
+			until[run.ID()] = end
+		}
+	}
+	return until
+}
+
+// encodeWaits returns the waits that end last.
+func encodeWaits(waits map[notice.Run]time.Time, now time.Time) []*syncpb.UpstreamWait {
+	list := make([]*syncpb.UpstreamWait, 0, len(waits))
+	for run, until := range waits {
+		list = append(list, &syncpb.UpstreamWait{Upstream: string(run.ID()), Born: run.StartedMs(), RemainingMs: until.Sub(now).Milliseconds()})
+	}
+	slices.SortFunc(list, func(a, b *syncpb.UpstreamWait) int {
+		return cmp.Or(cmp.Compare(b.GetRemainingMs(), a.GetRemainingMs()), cmp.Compare(a.GetUpstream(), b.GetUpstream()))
+	})
+	return list[:min(len(list), maxSentWaits)]
+}
--- a/coord/notice_internal_test.go
+++ b/coord/notice_internal_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
@@ -50,6 +51,34 @@
 		Expect(l.options.Notices.IsLeaving(run)).To(BeTrue())
 	})
 
+	It("stays known to the coordinator for the plan if it asks a member for a wait", func() {
+		coordinator, member := newLoop("a", site.OrderAccepted), newLoop("b", site.OrderAccepted)
+		plan := coordinator.becomeCoordinator()
+		plan.RecordWait("m", "", start.Add(time.Second))
+		coordinator.stepTerm(start)
+		Expect(plan.Ready("m", "", start)).To(HaveLen(1))
+		Expect(member.options.Notices.Wait(run, 30*time.Second, clock.Now())).To(BeTrue())
+		coordinator.exchange(member.report(member.options.Demand.Take()), start)
+		coordinator.stepTerm(start)
+		Expect(plan.Ready("m", "", start)).To(BeEmpty())
+		expected, known := plan.ReadyIn("m", "", start)
+		Expect(known).To(BeTrue())
+		Expect(expected).To(BeNumerically("<", 5*time.Second))
+		Expect(coordinator.options.Notices.Waiting(start)).To(BeZero())
+
+		coordinator.setUpstream(&site.Upstream{Upstream: cardamom.Upstream{ID: "x", Service: "s", State: cardamom.Live}, StartedMs: 2}, "test")
+		Expect(coordinator.term.planWaits(start)).To(BeEmpty())
+	})
+
+	It("makes the next exchange early if it asks for a wait", func() {
+		l := newLoop("a", site.OrderAccepted)
+		l.options.Notices.Wait(run, time.Second, start)
+		var event func(time.Time)
+		Eventually(l.events, 10*time.Second).Should(Receive(&event))
+		event(start)
+		Expect(l.reportSoon).To(BeTrue())
+	})
+
 	It("is live again in its next run", func() {
 		l := newLoop("a", site.OrderAccepted)
 		l.setUpstream(&site.Upstream{Upstream: cardamom.Upstream{ID: "x", Service: "s", State: cardamom.Live}, StartedMs: 1}, "test")
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -62,6 +62,7 @@
 	}
 	parts := l.partsFor(t.lastExchange(cardamom.InstanceID(request.GetMember().GetInstance())), now)
 	t.recordReport(request, now)
+	t.mergeWaits(request.GetWaits(), now)
 	l.logLimits(l.options.Limits.Merge(decodeLimits(request.GetLimits(), now)), "member")
 	reply := &syncpb.ExchangeReply{
 		Coordinates: true, Tenure: t.number, Change: t.change, Parts: parts,
@@ -158,6 +159,7 @@
 			a.reply <- &syncpb.AwaitReply{Coordinator: address, ExpectedMs: -1}
 			return
 		}
+		t.mergeWaits(request.GetWaits(), now)
 		if p, ok := t.plans[a.service]; ok {
 			need := min(time.Duration(request.GetNeedMs())*time.Millisecond, maxWantTime)
 			p.RecordWait(a.model, a.adapter, now.Add(need))
--- a/coord/term.go
+++ b/coord/term.go
@@ -8,6 +8,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/demand"
+	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/quota"
 	"cardamomcourse.example/cardamom/site"
@@ -52,7 +53,9 @@
 	sums           *demand.Sums
 	awaitCalls     map[*awaitCall]bool
 	// permits has the calls for permits, for upstreams with a rate limit.
-	permits      *quota.Queue
+	permits *quota.Queue
+	// waits are those that upstreams asked any member for.
+	waits        *notice.Book
 	ordersPaused bool
 	// lastStep is when the plans last decided on orders.
 	lastStep time.Time
@@ -112,7 +115,7 @@
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
 		sums: demand.NewSums(), awaitCalls: make(map[*awaitCall]bool),
-		permits: quota.NewQueue(l.options.Limits),
+		permits: quota.NewQueue(l.options.Limits), waits: notice.NewBook(),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
@@ -224,7 +227,9 @@
 		t.ordersPaused = !allowed
 		l.logger.Info("orders_allowed", "allowed", allowed, "fence", t.number)
 	}
+	waits := t.planWaits(now)
 	for name, p := range t.plans {
+		p.SetWaits(waits)
 		if allowed {
 			for _, planned := range append(p.Resends(now), p.Decide(now)...) {
 				l.sendOrder(name, planned)
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -54,6 +54,7 @@
 	// invalid are the upstreams that named an invalid wait.
 	invalid map[cardamom.UpstreamID]bool
 	onLeave func(run Run)
+	onWait  func()
 }
 
 type leave struct {
@@ -70,7 +71,7 @@
 func NewBook() *Book {
 	return &Book{
 		leaving: make(map[cardamom.UpstreamID]leave), waits: make(map[cardamom.UpstreamID]wait),
-		invalid: make(map[cardamom.UpstreamID]bool), onLeave: func(Run) {},
+		invalid: make(map[cardamom.UpstreamID]bool), onLeave: func(Run) {}, onWait: func() {},
 	}
 }
 
@@ -81,6 +82,14 @@
 	b.onLeave = f
 }
 
+// OnWait sets a function that is called when an upstream asks this instance for a wait
+// while none is in force.
+func (b *Book) OnWait(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onWait = f
+}
+
 // Leave records that a run of an upstream leaves, and reports whether that is new.
 func (b *Book) Leave(run Run, now time.Time) bool {
 	b.mu.Lock()
@@ -122,17 +131,25 @@
 // and reports whether no wait was in force before. Of two waits the one that ends later is
 // kept: an upstream that names a shorter one has not said that the other is over.
 func (b *Book) Wait(run Run, span time.Duration, now time.Time) bool {
+	isNew, notify := b.recordWait(run, span, now)
+	if isNew {
+		notify()
+	}
+	return isNew
+}
+
+func (b *Book) recordWait(run Run, span time.Duration, now time.Time) (isNew bool, notify func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.waits[run.id]
 	if ok && known.startedMs > run.startedMs || !ok && len(b.waits) >= maxRuns {
-		return false
+		return false, nil
 	}
 	inForce := ok && known.startedMs == run.startedMs && known.until.After(now)
 	if until := now.Add(span); !inForce || until.After(known.until) {
 		b.waits[run.id] = wait{run.startedMs, until}
 	}
-	return !inForce && span > 0
+	return !inForce && span > 0, b.onWait
 }
 
 // WaitUntil returns until when a run of an upstream wants no requests, and whether that is
@@ -144,6 +161,19 @@
 	return known.until, ok && known.startedMs == run.startedMs && known.until.After(now)
 }
 
+// Waits returns the runs that want no requests from this instance now, with the end of each.
+func (b *Book) Waits(now time.Time) map[Run]time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[Run]time.Time)
+	for id, known := range b.waits {
+		if known.until.After(now) {
+			list[Run{id, known.startedMs}] = known.until
+		}
+	}
+	return list
+}
+
 // MayGet reports whether a run of an upstream may get requests by what it says of itself,
 // or else when it may again, zero if never.
 func (b *Book) MayGet(run Run, now time.Time) (may bool, until time.Time) {
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -125,7 +125,7 @@
 		if key.adapter != "" {
 			issue(pl.adapterOrder(key, now))
 		}
-		if pl.replicas(key.model) == 0 {
+		if pl.replicas(key.model) == pl.awayReplicas(key.model, now) {
 			order, ok := pl.loadOrder(key.model, "wanted", now)
 			if ok {
 				pl.swaps.arrivals, pl.swaps.updated = pl.swaps.decayedArrivals(now)+1, now
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -195,16 +195,16 @@
 			continue
 		}
 		if e.target == model && e.pending != nil {
-			consider(pl.unloadRemaining(e.pending, now) + pl.loadTime(e, model) + presumeDelay)
+			consider(max(pl.unloadRemaining(e.pending, now)+pl.loadTime(e, model)+presumeDelay, pl.quiet(e, now)))
 		}
 		switch view := e.usableView(); {
 		case view.HasLoaded(model, adapter):
-			consider(e.adapterReady[string(model)+"/"+adapter].Sub(now))
+			consider(max(e.adapterReady[string(model)+"/"+adapter].Sub(now), pl.quiet(e, now)))
 		case view.HasLoaded(model, ""):
-			consider(adapterLoadTime)
+			consider(max(adapterLoadTime, pl.quiet(e, now)))
 		}
 		if p := e.pending; p != nil && p.order.Kind == site.Load && p.order.Model == model && p.order.Adapter == "" {
-			consider(p.expectedEnd.Add(presumeDelay).Sub(now))
+			consider(max(p.expectedEnd.Add(presumeDelay).Sub(now), pl.quiet(e, now)))
 		}
 	}
 	if known {
@@ -218,7 +218,7 @@
 		if p := e.pending; p != nil {
 			wait += p.expectedEnd.Sub(now)
 		}
-		consider(wait)
+		consider(max(wait, pl.quiet(e, now)))
 	}
 	return best, known
 }
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -65,7 +65,9 @@
 	Beat    int64    `json:"beat"`
 	// PerSecond is the rate limit of the engine.
 	PerSecond float64 `json:"per_s"`
-	Result    string  `json:"result"`
+	// UntilMS is until when the engine wants no requests.
+	UntilMS int64  `json:"until_ms"`
+	Result  string `json:"result"`
 	// Moves are the expected orders, as "load MODEL[/ADAPTER] ENGINE".
 	Moves []string `json:"moves"`
 	// Number is the expected number of orders where any choice is right.
@@ -170,7 +172,7 @@
 		planner.SetStoreConcurrency(plan.StoreConcurrency{Loads: s.AtOnce, LimitReached: s.Bound})
 	}
 	sent := make(map[string]plan.PlannedOrder)
-	limits := make(map[cardamom.UpstreamID]float64)
+	limits, quiet := make(map[cardamom.UpstreamID]float64), make(map[cardamom.UpstreamID]time.Time)
 	for i, step := range s.Steps {
 		now := start.Add(time.Duration(step.At) * time.Millisecond)
 		id := cardamom.UpstreamID(step.Engine)
@@ -196,6 +198,9 @@
 		case "limit":
 			limits[id] = step.PerSecond
 			planner.SetRateLimits(limits)
+		case "quiet":
+			quiet[id] = start.Add(time.Duration(step.UntilMS) * time.Millisecond)
+			planner.SetWaits(quiet)
 		case "gone":
 			planner.Remove(id)
 		case "doubt":
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -152,6 +152,8 @@
 	store   storeState
 	// rateLimits are the rate limits of engines in requests a second.
 	rateLimits map[cardamom.UpstreamID]float64
+	// quietUntil is until when engines want no requests.
+	quietUntil map[cardamom.UpstreamID]time.Time
 	// swaps counts the loads that requests waited for.
 	swaps modelDemand
 	// completed has the completed orders that TakeCompleted has not returned yet.
@@ -364,7 +366,7 @@
 	var list []*site.Upstream
 	for _, e := range pl.sorted() {
 		view := e.usableView()
-		if e.live() && !e.suspicion.suspected && view.HasLoaded(model, adapter) && !now.Before(e.adapterReady[string(model)+"/"+adapter]) {
+		if e.live() && !e.suspicion.suspected && pl.quiet(e, now) == 0 && view.HasLoaded(model, adapter) && !now.Before(e.adapterReady[string(model)+"/"+adapter]) {
 			list = append(list, view)
 		}
 	}
--- a/relay/find.go
+++ b/relay/find.go
@@ -222,9 +222,9 @@
 	case full:
 		x.awaitSlot(began)
 	case !found.freeAt.IsZero() && len(found.usable) == 0 && len(found.suspected) == 0:
-		x.awaitNotice(found.freeAt)
+		x.awaitNotice(found.freeAt, found.needsModel)
 	case found.needsModel && (x.runs == 0 || x.route.Repeatable()):
-		x.awaitModel(found.suspected)
+		x.awaitModel(found.suspected, time.Time{})
 	case found.listed == 0 && time.Since(x.arrived) < defaultRetryDelay:
 		x.sleep(recheckInterval)
 	default:
@@ -282,8 +282,9 @@
 
 // awaitModel waits until the model is loaded, or refuses the request if the load
 // ends too late. The suspected engines have the model and could not be reached:
-// the coordinator checks them, and loads the model elsewhere if they are down.
-func (x *exchange) awaitModel(suspected []cardamom.UpstreamID) {
+// the coordinator checks them, and loads the model elsewhere if they are down. Engines that
+// have the model and want no requests until freeAt, if that is set, may be waited for too.
+func (x *exchange) awaitModel(suspected []cardamom.UpstreamID, freeAt time.Time) {
 	s := x.server
 	if engine, ok := x.modelEngine(); ok {
 		if _, known := engine.Models[x.info.Model]; !known {
@@ -303,6 +304,10 @@
 	if len(suspected) > 0 {
 		maxWait = suspectedWait
 	}
+	freeInTime := !freeAt.IsZero() && freeAt.Sub(clock.Now()) < remaining
+	if freeInTime {
+		maxWait = max(freeAt.Sub(clock.Now()), 0)
+	}
 	ctx, cancel := context.WithTimeout(x.ctx, maxWait)
 	stop := context.AfterFunc(s.Closing, cancel)
 	verdict := s.Waiters.Wait(ctx, await.Key{Service: x.service, Model: x.info.Model, Adapter: x.info.Adapter}, remaining, suspected...)
@@ -323,7 +328,7 @@
 		x.markEnded()
 		return
 	}
-	if len(suspected) > 0 && !verdict.FromCoordinator {
+	if freeInTime || len(suspected) > 0 && !verdict.FromCoordinator {
 		x.sleep(recheckInterval)
 		return
 	}
@@ -332,11 +337,14 @@
 		x.giveUp("model_late")
 		return
 	}
-	reason := "model_late"
-	if !verdict.FromCoordinator {
-		reason = "model_unknown"
+	switch wait := freeAt.Sub(clock.Now()); {
+	case !freeAt.IsZero() && (!verdict.FromCoordinator || wait < verdict.RetryAfter):
+		x.refuse("upstream_waits", wait)
+	case verdict.FromCoordinator:
+		x.refuse("model_late", verdict.RetryAfter)
+	default:
+		x.refuse("model_unknown", verdict.RetryAfter)
 	}
-	x.refuse(reason, verdict.RetryAfter)
 }
 
 // splitNames splits a comma-separated list of header names.
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -45,19 +45,19 @@
 	return s.Notices.MayGet(notice.NewRun(upstream.ID, upstream.StartedMs), clock.Now())
 }
 
-// awaitNotice waits a moment where the only upstreams that could run the request want none
-// until a time, or ends the request if that is too late. Requests that wait count as demand
-// for the model, so that another engine loads it.
-func (x *exchange) awaitNotice(until time.Time) {
+// awaitNotice waits where the only upstreams that could run the request want none until a
+// time, or ends the request if that is too late. A request that needs a model waits for
+// another engine with it as well.
+func (x *exchange) awaitNotice(until time.Time, needsModel bool) {
+	if needsModel && (x.runs == 0 || x.route.Repeatable()) {
+		x.awaitModel(nil, until)
+		return
+	}
 	wait := until.Sub(clock.Now())
 	if wait >= x.remaining(time.Now()) {
 		x.markEnded()
 		x.giveUpFor("upstream_waits", wait)
 		return
 	}
-	if x.info.Model != "" {
-		x.server.Demand.Waiting(x.key, 1)
-		defer x.server.Demand.Waiting(x.key, -1)
-	}
 	x.sleep(min(wait, noticeRecheckInterval))
 }
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -131,6 +131,32 @@
 		Expect(full.Arrivals()).To(HaveLen(1))
 	})
 
+	It("asks the coordinator for another copy of a model that only it has", func() {
+		w := newFixture(coord.AwaitResult{Answered: true, Expected: 25 * time.Second})
+		full, _ := w.pair("/stream/x")
+		full.AskToWait("60")
+		for range 5 {
+			status, retryAfter := w.get("/stream/x", "m")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(retryAfter).To(And(BeNumerically(">", 20), BeNumerically("<=", 26)))
+		}
+		Expect(full.Arrivals()).To(HaveLen(1))
+		Expect(w.calls.Load()).To(BeNumerically(">", 0))
+	})
+
+	It("waits for its model where the time ends before another copy would be there", func() {
+		w := newFixture(coord.AwaitResult{Answered: true, Expected: 60 * time.Second})
+		full, _ := w.pair("/stream/x")
+		full.AskToWait("1")
+		go func() {
+			defer GinkgoRecover()
+			Eventually(full.Arrivals, 10*time.Second).Should(HaveLen(1))
+			full.StopAsking()
+		}()
+		Expect(w.send("/stream/x")).To(Equal(http.StatusOK))
+		Expect(full.Arrivals()).To(HaveLen(2))
+	})
+
 	It("waits where the time ends early enough", func() {
 		w := newFixture(coord.AwaitResult{})
 		full, _ := w.pair("/safe/x")
--- a/simul/coordinator.go
+++ b/simul/coordinator.go
@@ -33,6 +33,8 @@
 	limits  *quota.Book
 	permits *quota.Queue
 	notices *notice.Book
+	// waits are those that engines asked any instance for.
+	waits *notice.Book
 }
 
 // waiter is an instance that waits for a model.
@@ -51,7 +53,7 @@
 
 // startLimits begins without any limits, permits and notices.
 func (c *coordinator) startLimits() {
-	c.notices = notice.NewBook()
+	c.notices, c.waits = notice.NewBook(), notice.NewBook()
 	c.limits = quota.NewBook()
 	c.permits = quota.NewQueue(c.limits)
 }
@@ -112,6 +114,7 @@
 	}
 	c.waiting = still
 	c.stepLimits(now)
+	c.stepWaits(now)
 	c.play.events.after(lookInterval, c.look)
 }
 
--- a/simul/instance.go
+++ b/simul/instance.go
@@ -118,9 +118,10 @@
 // exchange reports to the coordinator and takes over what changed.
 func (i *instance) exchange(now time.Time) {
 	i.lastExchange = now
-	report, since, starts, limits, leaving := i.demand.Take(), i.since, i.starts, i.limits.Limits(), i.notices.Leaving()
+	report, since, starts, limits, leaving, waits := i.demand.Take(), i.since, i.starts, i.limits.Limits(), i.notices.Leaving(), i.notices.Waits(now)
 	i.play.events.after(hop, func(now time.Time) {
 		i.play.coordinator.mergeLeaves(leaving, now)
+		i.play.coordinator.mergeWaits(waits, now)
 		changed, version, others := i.play.coordinator.exchange(i.number, report, since, now)
 		i.play.coordinator.limits.Merge(limits)
 		known := i.play.coordinator.limits.Limits()
--- a/simul/notice.go
+++ b/simul/notice.go
@@ -16,8 +16,6 @@
 	// there don't count, and waitSlack how many may reach it until the end.
 	waitNotice = 500 * time.Millisecond
 	waitSlack  = 2
-	// noticeRecheck is that of package relay.
-	noticeRecheck = 50 * time.Millisecond
 )
 
 // told is what an engine has told the instances of itself, and what it got from them since.
@@ -121,22 +119,81 @@
 	}
 }
 
-// awaitNotice waits a moment where the only engines that could run the request want none
-// until a time, or refuses it if that is too late.
-func (x *exchange) awaitNotice(until, now time.Time) {
-	wait := until.Sub(now)
-	if wait >= x.remaining(now) {
-		x.refuse("upstream_waits", wait)
+// mergeWaits records the waits that engines asked an instance for.
+func (c *coordinator) mergeWaits(waits map[notice.Run]time.Time, now time.Time) {
+	for run, until := range waits {
+		c.waits.Wait(run, until.Sub(now), now)
+	}
+}
+
+// stepWaits tells the plan which engines want no requests.
+func (c *coordinator) stepWaits(now time.Time) {
+	if c.play.without["notices"] {
 		return
 	}
+	until := make(map[cardamom.UpstreamID]time.Time)
+	for run, end := range c.waits.Waits(now) {
+		if e := c.play.engines[run.ID()]; e.StartedMs == run.StartedMs() {
+			until[run.ID()] = end
+		}
+	}
+	c.planner.SetWaits(until)
+}
+
+// awaitNotice waits where the only engines that could run the request want none until a
+// time: for that time, or for another engine that the coordinator has load the model.
+func (x *exchange) awaitNotice(until, now time.Time) {
 	i, key, starts := x.instance, x.key(), x.instance.starts
+	if x.remaining(now) <= 0 {
+		x.refuse("upstream_waits", until.Sub(now))
+		return
+	}
 	i.demand.Waiting(key, 1)
-	i.play.events.after(min(wait, noticeRecheck), func(now time.Time) {
-		if i.starts == starts {
+	over := false
+	leave := func() {
+		if !over && i.starts == starts {
 			i.demand.Waiting(key, -1)
 		}
+		over = true
+	}
+	decide := func(now time.Time) {
+		leave()
 		if !x.ended {
 			x.decide(now)
 		}
+	}
+	waits := i.notices.Waits(now)
+	if until.Sub(now) < x.remaining(now) {
+		i.play.events.at(until, func(now time.Time) {
+			if !over {
+				decide(now)
+			}
+		})
+	}
+	i.play.events.after(hop, func(now time.Time) {
+		c := i.play.coordinator
+		c.mergeWaits(waits, now)
+		c.stepWaits(now)
+		c.need(x.model, x.remaining(now), waiter{x.model, func(now time.Time, ready []*site.Upstream, expected time.Duration, known bool) bool {
+			switch {
+			case x.ended || over:
+				leave()
+				return true
+			case len(ready) > 0:
+				i.play.events.after(hop, func(now time.Time) {
+					if !over {
+						i.learn(ready)
+						decide(now)
+					}
+				})
+				return true
+			case known && expected > x.remaining(now) && until.Sub(now) > x.remaining(now) || x.remaining(now) <= 0:
+				leave()
+				x.refuse("upstream_waits", min(expected, until.Sub(now))+retryAfterMargin)
+				return true
+			default:
+				return false
+			}
+		}}, now)
 	})
 }
