Order no load on a quiet engine that has no room

Cause: an engine that wants no requests was given a busy time. A busy engine without room stays a candidate, as it may have some when it is free; this one takes orders now, so that the load was sent at once.

Fix: the wait only delays when a load there is of use.

--- a/plan/eviction.go
+++ b/plan/eviction.go
@@ -32,14 +32,14 @@
 		if !e.live() || e.suspicion.suspected || e.loadedAfterOrder(model) {
 			continue
 		}
-		busy := max(pl.busyTime(e, now), pl.quiet(e, now))
+		busy := pl.busyTime(e, now)
 		if pl.source(e, model) == fromStore && (busy > 0 || !pl.storeLoadAllowed(now) || reason == "demand" && spec.StoreLoadTime > demandDecay) {
 			// A load from the store is left to engines that are free, and to times when
 			// the store allows another one. It is of no use for a further replica if it
 			// takes longer than demand is remembered.
 			continue
 		}
-		wait := busy + pl.loadTime(e, model)
+		wait := max(busy+pl.loadTime(e, model), pl.quiet(e, now))
 		if wait.Seconds() >= lowestCost {
 			continue
 		}
