Soak sound requests until they have to be served beside crashing parts

The soak ended 3.4 s after the fifth crash on a part.

The rule is that sound requests are served again from twice the notice after the fifth crash on (the last if there are fewer). The check looked at the last second whenever it was. The soak now goes on until that time.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -244,6 +244,7 @@
 	}
 	s.endLimits()
 	sleep.For(ctx, soakSettleTime)
+	s.awaitSoundAgain(ctx)
 	s.checkConfiguration()
 	s.ended = time.Now()
 	stop()
--- a/cmd/cardload/soak_parts.go
+++ b/cmd/cardload/soak_parts.go
@@ -91,22 +91,50 @@
 	return fmt.Sprintf("first:100,good%d:40,own%d-%d:5", n%7, caller, n)
 }
 
+// crashesOn returns when upstreams crashed on a part, in order.
+func (s *soak) crashesOn(part string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var crashes []time.Time
+	for _, upstream := range s.site.Upstreams {
+		if at, ok := upstream.CrashedOn(part); ok {
+			crashes = append(crashes, at)
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	return crashes
+}
+
+// awaitSoundAgain waits until sound requests have to be served beside the parts that crash
+// upstreams: twice the notice after the fifth crash on each part, or the last if there are
+// fewer.
+func (s *soak) awaitSoundAgain(ctx context.Context) {
+	for {
+		var from time.Time
+		for _, part := range s.parts {
+			if crashes := s.crashesOn(part); len(crashes) > 0 {
+				if at := crashes[min(len(crashes), soakPartCrashes)-1].Add(2 * soakPartNotice); at.After(from) {
+					from = at
+				}
+			}
+		}
+		wait := time.Until(from.Add(soakServedTime))
+		if from.IsZero() || wait <= 0 || !sleep.For(ctx, wait) {
+			return
+		}
+	}
+}
+
 // checkParts checks that no more than a few requests with a part that crashes upstreams
 // reach them later than the notice after the fifth crash, from instances that were not
 // disturbed since.
 func (s *soak) checkParts() {
 	for _, part := range s.parts {
-		var crashes []time.Time
-		for _, upstream := range s.site.Upstreams {
-			if at, ok := upstream.CrashedOn(part); ok {
-				crashes = append(crashes, at)
-			}
-		}
+		crashes := s.crashesOn(part)
 		s.wire.Crashes = append(s.wire.Crashes, len(crashes))
 		if len(crashes) < soakPartCrashes {
 			continue
 		}
-		slices.SortFunc(crashes, time.Time.Compare)
 		noticed := crashes[soakPartCrashes-1].Add(soakPartNotice)
 		late := 0
 		for _, upstream := range s.site.Upstreams {
