Send requests with parts that may have crashed two engines alone

Cause: each instance sends one request with each suspected part at a time, so that up to four instances times seven parts meet on each engine that comes back. All engines end at the same moment, with three parts each, and tell nothing: deaths of one moment count once, and the parts refused first explain those of the others, which then counted as clean and came without bound.

Fix: of all parts with two deaths that none survived, one request is sent at a time, by the instance that may try refused parts, the coordinator. The others hold theirs back for a second in which there is an engine, as the coordinator may get none. What refused parts explain stays suspected until it survives. A part that always dies need not have had the header each time.

The test of the admission fails before.

--- a/poison/crashes_test.go
+++ b/poison/crashes_test.go
@@ -23,9 +23,9 @@
 	parts    []string
 	sent     time.Time
 	ends     time.Time
-	// suspect is the part for which the instance admitted it alone, if any.
-	suspect string
-	bad     bool
+	// end ends the admission of one with a suspected part.
+	end func()
+	bad bool
 }
 
 // TestCrashes checks, on random histories of instances that exchange what they know and
@@ -40,10 +40,12 @@
 		startMS := rapid.IntRange(0, 3000).Draw(t, "start of bad prompts")
 		restartMS := rapid.IntRange(0, 20000).Draw(t, "start of an instance again")
 		massMS := rapid.IntRange(0, 20000).Draw(t, "end of all upstreams")
+		held := time.Duration(rapid.IntRange(0, 2).Draw(t, "seconds held back")) * time.Second
 		ledgers := make([]*poison.Parts, instances)
 		for i := range ledgers {
 			ledgers[i] = poison.NewParts()
 		}
+		ledgers[0].AllowTrials(true)
 		hub := poison.NewParts()
 		began := time.Unix(1000, 0)
 		var running []sentPrompt
@@ -56,10 +58,11 @@
 			}
 			prompt := sentPrompt{instance: i, parts: parts, sent: now, ends: now.Add(120 * time.Millisecond), bad: bad}
 			if verdict == poison.Suspected {
-				if !ledgers[i].Begin("s", part) {
+				end, ok := ledgers[i].Begin("s", part, held)
+				if !ok {
 					return
 				}
-				prompt.suspect = part
+				prompt.end = end
 			}
 			if bad {
 				sent = append(sent, now)
@@ -73,6 +76,7 @@
 			if !restarted && elapsed >= restartMS {
 				restarted = true
 				ledgers[0] = poison.NewParts()
+				ledgers[0].AllowTrials(true)
 				ledgers[0].Merge(hub.Evidence(now), now)
 			}
 			if i := step % 20; i < instances {
@@ -101,8 +105,8 @@
 				} else {
 					ledger.Survived("s", p.parts, now)
 				}
-				if p.suspect != "" {
-					ledger.End("s", p.suspect)
+				if p.end != nil {
+					p.end()
 				}
 			}
 			running = left
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -150,10 +150,12 @@
 	if e.proven() {
 		needed = provenRefusalPoints
 	}
-	explained := func(Death) bool { return false }
-	return e.begunDeaths() >= maxExplainedDeaths && others >= provenOthers && e.points(explained, begun) >= needed
+	return len(e.deaths) >= maxExplainedDeaths && others >= provenOthers && e.points(nothing, begun) >= needed
 }
 
+// nothing explains no death.
+func nothing(Death) bool { return false }
+
 // begunDeaths returns how many of the deaths came after the answer had begun.
 func (e *Evidence) begunDeaths() int {
 	count := 0
@@ -180,7 +182,8 @@
 	switch {
 	case e.proven() && points >= provenRefusalPoints && others >= provenOthers, !e.proven() && points >= refusalPoints:
 		return Refused
-	case e.proven() && points > begunPoints, !e.proven() && points >= begunPoints:
+	case e.proven() && points > begunPoints, !e.proven() && e.points(nothing, begun) >= begunPoints:
+		// What refused parts explain is suspected as well until it survives.
 		return Suspected
 	default:
 		return Clean
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -13,6 +13,8 @@
 	// together are the parts that all the deaths have in common and that no request has
 	// survived. Any of them may be the cause, so prompts are refused that have all.
 	together []string
+	// isolated means that requests with the part are sent alone while it is suspected.
+	isolated bool
 	// changed is when this instance last learned something of the part, or last told others
 	// that it is still seen.
 	changed time.Time
@@ -60,6 +62,7 @@
 		if r.settled && !wasSettled {
 			r.changed = now
 		}
+		r.isolated = r.isolate(begun)
 		if r.verdict == Refused {
 			for _, d := range r.deaths {
 				explained[d.name] = r
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -239,7 +239,7 @@
 func (p *Parts) Verdict(service cardamom.ServiceID, parts []string, now time.Time) (Verdict, string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	verdict, decisive := Clean, ""
+	verdict, decisive, isolated := Clean, "", false
 	for _, id := range parts {
 		r, ok := p.records[Part{service, id}]
 		if !ok || p.sound[r.part] {
@@ -253,8 +253,8 @@
 		if found == Refused && !r.coveredBy(parts) {
 			found = Suspected
 		}
-		if found > verdict {
-			verdict, decisive = found, id
+		if found > verdict || found == verdict && r.isolated && !isolated {
+			verdict, decisive, isolated = found, id, r.isolated
 		}
 	}
 	if verdict == Refused {
@@ -294,26 +294,6 @@
 	return true
 }
 
-// Begin reports whether a request with a suspected part may be sent now: one at a time
-// is. End has to follow if so.
-func (p *Parts) Begin(service cardamom.ServiceID, id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	part := Part{service, id}
-	if p.running[part] {
-		return false
-	}
-	p.running[part] = true
-	return true
-}
-
-// End ends a request that Begin has admitted.
-func (p *Parts) End(service cardamom.ServiceID, id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.running, Part{service, id})
-}
-
 // Evidence returns the evidence on all parts, those with the most deaths first.
 func (p *Parts) Evidence(now time.Time) []Evidence { return p.changedSince(now, time.Time{}) }
 
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -192,11 +192,42 @@
 
 	It("sends one request with a suspected part at a time", func() {
 		parts := poison.NewParts()
-		Expect(parts.Begin("s", "bad")).To(BeTrue())
-		Expect(parts.Begin("s", "bad")).To(BeFalse())
-		Expect(parts.Begin("s", "other")).To(BeTrue())
-		parts.End("s", "bad")
-		Expect(parts.Begin("s", "bad")).To(BeTrue())
+		end, ok := parts.Begin("s", "bad", 0)
+		Expect(ok).To(BeTrue())
+		_, ok = parts.Begin("s", "bad", 0)
+		Expect(ok).To(BeFalse())
+		_, ok = parts.Begin("s", "other", 0)
+		Expect(ok).To(BeTrue())
+		end()
+		_, ok = parts.Begin("s", "bad", 0)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("sends one request with any part that may have crashed two upstreams at a time, from one instance", func() {
+		here, there := poison.NewParts(), poison.NewParts()
+		here.AllowTrials(true)
+		for n := range 2 {
+			at := began.Add(time.Duration(n) * time.Second)
+			for _, part := range []string{"bad", "worse"} {
+				die(here, part, fmt.Sprint(n), at)
+			}
+			die(here, "once", fmt.Sprint("once", n/2), at)
+		}
+		there.Merge(here.News(began.Add(time.Second)), began.Add(time.Second))
+		end, ok := here.Begin("s", "bad", 0)
+		Expect(ok).To(BeTrue())
+		_, ok = here.Begin("s", "worse", time.Hour)
+		Expect(ok).To(BeFalse())
+		_, ok = here.Begin("s", "once", 0)
+		Expect(ok).To(BeTrue())
+		_, ok = there.Begin("s", "bad", 900*time.Millisecond)
+		Expect(ok).To(BeFalse())
+		_, ok = there.Begin("s", "bad", time.Second)
+		Expect(ok).To(BeTrue())
+		here.Survived("s", []string{"worse"}, began.Add(2*time.Second))
+		end()
+		_, ok = here.Begin("s", "bad", 0)
+		Expect(ok).To(BeTrue())
 	})
 
 	It("refuses no part that the operator declares sound", func() {
--- a/relay/death.go
+++ b/relay/death.go
@@ -11,6 +11,10 @@
 	"cardamomcourse.example/cardamom/site"
 )
 
+// maxRecheckPause is the longest pause between two looks of a request that is held back. In a
+// longer one there was no upstream for it.
+const maxRecheckPause = 4 * recheckInterval
+
 // recordDeath records that an upstream died while it had the request, unless the request
 // had already got events of its answer: then it has survived the beginning.
 func (x *exchange) recordDeath(upstream *site.Upstream) {
@@ -74,11 +78,16 @@
 	if verdict != poison.Suspected {
 		return true, func() {}
 	}
-	if !s.Parts.Begin(x.service, part) {
+	now := clock.Now()
+	if pause := now.Sub(x.heldAt); pause < maxRecheckPause {
+		x.heldFor += pause
+	}
+	x.heldAt = now
+	end, admitted = s.Parts.Begin(x.service, part, x.heldFor)
+	if !admitted {
 		x.sleep(recheckInterval)
-		return false, nil
 	}
-	return true, func() { s.Parts.End(x.service, part) }
+	return admitted, end
 }
 
 // hasCleanParts reports whether no part of the prompt is suspected or refused.
