--- a/logs/words.go
+++ b/logs/words.go
@@ -122,6 +122,7 @@
 	"header":       "value of the header",
 	"incarnation":  "incarnation of the store: one more each time it returns from an older copy",
 	"instance":     "instance that the event is about",
+	"isolated_ms":  "time for which the request was held back because a part of its prompt is suspected, in milliseconds",
 	"key":          "key of a row or of a request",
 	"kind":         "load or unload",
 	"last_event":   "last event of the stream that was relayed completely",
--- a/relay/death.go
+++ b/relay/death.go
@@ -79,11 +79,11 @@
 		return true, func() {}
 	}
 	now := clock.Now()
-	if pause := now.Sub(x.heldAt); pause < maxRecheckPause {
-		x.heldFor += pause
+	if pause := now.Sub(x.isolatedAt); pause < maxRecheckPause {
+		x.isolatedFor += pause
 	}
-	x.heldAt = now
-	end, admitted = s.Parts.Begin(x.service, part, x.heldFor)
+	x.isolatedAt = now
+	end, admitted = s.Parts.Begin(x.service, part, x.isolatedFor)
 	if !admitted {
 		x.sleep(recheckInterval)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -87,10 +87,10 @@
 	refusedPart string
 	// triesPart is a refused part for which the request was let through as a trial.
 	triesPart string
-	// heldFor is how long the request was held back for a suspected part of its prompt while
-	// there was an upstream for it, heldAt when it was last.
-	heldFor time.Duration
-	heldAt  time.Time
+	// isolatedFor is how long the request was held back for a suspected part of its prompt
+	// while there was an upstream for it, isolatedAt when it was last.
+	isolatedFor time.Duration
+	isolatedAt  time.Time
 	// sentAt is when the last send began.
 	sentAt time.Time
 	// progress is how much of an answer the last send has got.
