Give an instance that starts in an outage of the store what others know

Cause: only a coordinator hands out the catalog and the upstreams, and the one that coordinated was among the two. The others answered that they don't coordinate.

Fix: an instance that has no catalog or no upstreams 250 ms after its start says so in its exchanges, and any instance that has both answers with them. It takes over only what it has not read itself, as old as the other knows it to be; the platform's or a coordinator's answer replaces it.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/notice"
@@ -52,7 +53,7 @@
 		ID: id, EntryAddress: string(id) + ":1", SyncAddress: string(id) + ":2", LeaseDuration: 3 * time.Second, Engines: engines{result},
 		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Logger: hclog.NewNullLogger(),
 	})
-	l.ctx = context.Background()
+	l.ctx, l.noCoordinatorSince = context.Background(), clock.Now()
 	return l
 }
 
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -10,7 +10,6 @@
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/framed"
-	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
 	"cardamomcourse.example/cardamom/table"
 )
@@ -150,7 +149,8 @@
 	if l.state.catalog != nil {
 		request.Catalog = l.state.catalog.Version()
 	}
-	request.NeedDocument = l.needDocument
+	request.NeedState = l.needsState(clock.Now())
+	request.NeedDocument = l.needDocument || request.NeedState
 	request.Limits = encodeLimits(l.options.Limits.Limits(), clock.Now())
 	request.Leaving = encodeRuns(l.options.Notices.Leaving())
 	request.Waits = encodeWaits(l.options.Notices.Waits(clock.Now()), clock.Now())
@@ -187,6 +187,7 @@
 	}
 	l.mergeParts(reply.GetParts(), "coordinator", began)
 	if !reply.GetCoordinates() {
+		l.adoptState(reply, began)
 		followed := l.position.coordinator == address
 		l.position = position{}
 		l.lastLeaseCall = time.Time{}
@@ -222,18 +223,7 @@
 	}
 	l.coordinatorCatalog = reply.GetCatalog()
 	l.catalogBehind = l.state.catalog == nil || reply.GetCatalog() > l.state.catalog.Version()
-	if packed := reply.GetDocument(); len(packed) > 0 {
-		l.needDocument = false
-		document, err := revs.Decompress(packed)
-		if err != nil {
-			l.logger.Warn("catalog_ignored", "origin", "coordinator", "reason", err)
-		} else if catalog, err := l.options.Decode(document); err == nil {
-			l.catalogBehind = false
-			l.setCatalog(document, catalog, "coordinator")
-		} else {
-			l.logger.Warn("catalog_ignored", "origin", "coordinator", "reason", err)
-		}
-	}
+	l.applyDocument(reply, "coordinator")
 	if l.state.catalog != nil && reply.GetCatalog() <= l.state.catalog.Version() {
 		if confirmed := began.Add(-time.Duration(reply.GetCatalogAgeMs()) * time.Millisecond); confirmed.After(l.state.catalogConfirmed) {
 			l.state.catalogConfirmed = confirmed
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -7,7 +7,6 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/poison"
-	"cardamomcourse.example/cardamom/revs"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
@@ -58,7 +57,11 @@
 		if l.position.coordinator != "" && l.hasCoordinator(now) {
 			address = l.position.coordinator
 		}
-		return &syncpb.ExchangeReply{Coordinator: address, Parts: encodeParts(l.options.Parts.Evidence(now), now)}
+		reply := &syncpb.ExchangeReply{Coordinator: address, Parts: encodeParts(l.options.Parts.Evidence(now), now)}
+		if request.GetNeedState() {
+			l.addState(reply, now)
+		}
+		return reply
 	}
 	parts := l.partsFor(t.lastExchange(cardamom.InstanceID(request.GetMember().GetInstance())), now)
 	t.recordReport(request, now)
@@ -71,14 +74,7 @@
 	if l.state.catalog != nil {
 		reply.Catalog = l.state.catalog.Version()
 		if request.GetNeedDocument() && request.GetCatalog() < reply.Catalog {
-			if l.state.packed == nil {
-				packed, err := revs.Compress(l.state.document)
-				if err != nil {
-					l.logger.Warn("document_not_sent", "version", reply.GetCatalog(), "reason", err)
-				}
-				l.state.packed = packed
-			}
-			reply.Document = l.state.packed
+			reply.Document = l.packedDocument()
 		}
 	}
 	after := request.GetChange()
