--- a/await/await.go
+++ b/await/await.go
@@ -111,7 +111,9 @@
 		case <-grace.C:
 		case <-timer.C:
 			grace.Stop()
-			return Verdict{RetryAfter: retryAfterMargin}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return Verdict{RetryAfter: retryAfterMargin, FromCoordinator: g.hasEstimate}
 		case <-ctx.Done():
 			grace.Stop()
 			return Verdict{RetryAfter: retryAfterMargin}
--- a/await/await_test.go
+++ b/await/await_test.go
@@ -109,6 +109,18 @@
 		Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("are refused on the coordinator's word if the model isn't ready when it had expected", func() {
+		a := &coordinator{answers: make(chan coord.AwaitResult)}
+		waiters := await.New(a)
+		verdicts := make(chan await.Verdict, 1)
+		go func() { verdicts <- waiters.Wait(context.Background(), key, 200*time.Millisecond) }()
+		a.answers <- coord.AwaitResult{Answered: true}
+		var verdict await.Verdict
+		Eventually(verdicts, 10*time.Second).Should(Receive(&verdict))
+		Expect(verdict.Ready).To(BeFalse())
+		Expect(verdict.FromCoordinator).To(BeTrue())
+	})
+
 	It("end when their caller cancels the request", func() {
 		a := &coordinator{answers: make(chan coord.AwaitResult)}
 		waiters := await.New(a)
