Count only pauses as time held back for a suspected part

A request that was admitted, rejected and asked again within 100 ms had the time of its send counted in isolated_ms, and so was let through a little early the next time.

--- a/relay/death.go
+++ b/relay/death.go
@@ -82,12 +82,14 @@
 	if pause := now.Sub(x.isolatedAt); pause < maxRecheckPause {
 		x.isolatedFor += pause
 	}
-	x.isolatedAt = now
 	end, admitted = s.Parts.Begin(x.service, part, x.isolatedFor)
-	if !admitted {
-		x.sleep(recheckInterval)
+	if admitted {
+		x.isolatedAt = time.Time{}
+		return true, end
 	}
-	return admitted, end
+	x.isolatedAt = now
+	x.sleep(recheckInterval)
+	return false, nil
 }
 
 // hasCleanParts reports whether no part of the prompt is suspected or refused.
