--- a/coord/notice.go
+++ b/coord/notice.go
@@ -14,8 +14,8 @@
 const (
 	// maxSentWaits bounds the waits in one message to another instance.
 	maxSentWaits = 256
-	// maxWait bounds a wait that another instance tells of.
-	maxWait = time.Hour
+	// maxToldWait bounds a wait that another instance tells of.
+	maxToldWait = time.Hour
 )
 
 // waitNoticed makes the next exchange start early: the coordinator may have models loaded
@@ -95,7 +95,7 @@
 // but the plan has what requests need loaded elsewhere.
 func (t *term) mergeWaits(list []*syncpb.UpstreamWait, now time.Time) {
 	for _, wire := range list {
-		remaining := min(time.Duration(wire.GetRemainingMs())*time.Millisecond, maxWait)
+		remaining := min(time.Duration(wire.GetRemainingMs())*time.Millisecond, maxToldWait)
 		t.waits.Wait(notice.NewRun(cardamom.UpstreamID(wire.GetUpstream()), wire.GetBorn()), remaining, now)
 	}
 }
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -109,8 +109,8 @@
 	// prompts.
 	provenRefusalPoints = 4 * begunPoints
 	provenDeathGap      = 250 * time.Millisecond
-	// maxExplainedDeaths is how many upstreams may end while they begin an answer with a part
-	// before it no longer counts that other parts explain it.
+	// maxExplainedDeaths is how many upstreams may end with a part before it no longer counts
+	// that other parts explain it.
 	maxExplainedDeaths = 5
 	// provenOthers is how many requests without such a part have survived since its first
 	// death. When all of a service fails, its shared parts have no survivors either.
@@ -143,8 +143,8 @@
 }
 
 // alwaysDies reports whether the part is refused whatever else explains its deaths: so many
-// upstreams ended while they began an answer with it, at as many moments as a verdict needs,
-// and requests survive without it, none with it.
+// upstreams ended with it, at as many moments as a verdict needs, and requests survive without
+// it, none with it.
 func (e *Evidence) alwaysDies(begun map[string]bool, others int) bool {
 	needed := refusalPoints
 	if e.proven() {
