--- a/logs/logs.go
+++ b/logs/logs.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	logger := logs.New(os.Stderr, "cardd", "info")
-//	logger.Info("order_done", "model", "muse-01", "upstream", "runner-3")
+//	logger.Info("order_done", "model", "muse-01", "upstream", "i-3")
 //
 // The line starts with time, level, logger and event; the other pairs follow in
 // the order of the arguments.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -14,12 +14,12 @@
 // # Usage
 //
 //	ledger := poison.New()
-//	ledger.RecordDeath(fingerprint, "runner-3/17", now)
+//	ledger.RecordDeath(fingerprint, "i-3/17", now)
 //	if ledger.Verdict(fingerprint, now) == poison.Refused { ... }
 //
 //	parts := poison.NewParts()
 //	parts.Survived("muse-models", []string{"5c1e07a2"}, now)
-//	parts.Died("muse-models", []string{"5c1e07a2", "91bd3f06"}, poison.NewDeath("runner-3/17", sent, now, true), now)
+//	parts.Died("muse-models", []string{"5c1e07a2", "91bd3f06"}, poison.NewDeath("i-3/17", sent, now, true), now)
 //	if verdict, part := parts.Verdict("muse-models", request.SharedParts, now); verdict == poison.Refused { ... }
 package poison
 
