Log which software version an upstream has and who takes a stream up

What callers saw: streams that hold events of two versions of an upstream's software. The logs had neither the version of an upstream nor that a request takes a stream up. No decision depends on any of it yet.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -12,7 +12,7 @@
 func encodeUpstream(upstream *site.Upstream) *syncpb.Upstream {
 	wire := &syncpb.Upstream{
 		Id: string(upstream.ID), Service: string(upstream.Service), Address: upstream.Address, DataCentre: string(upstream.DataCentre),
-		Leaving: upstream.State == cardamom.Leaving, Slots: int32(upstream.Slots), Born: upstream.StartedMs,
+		Leaving: upstream.State == cardamom.Leaving, Slots: int32(upstream.Slots), Version: upstream.Version, Born: upstream.StartedMs,
 	}
 	for model, adapters := range upstream.Loaded {
 		wire.Held = append(wire.Held, &syncpb.Held{Model: string(model), Adapters: adapters})
@@ -30,7 +30,7 @@
 			ID: cardamom.UpstreamID(wire.GetId()), Service: cardamom.ServiceID(wire.GetService()),
 			DataCentre: cardamom.DataCentre(wire.GetDataCentre()), Address: wire.GetAddress(), State: state,
 		},
-		StartedMs: wire.GetBorn(), Slots: int(wire.GetSlots()), Loaded: make(map[cardamom.ModelID][]string, len(wire.GetHeld())),
+		StartedMs: wire.GetBorn(), Slots: int(wire.GetSlots()), Version: wire.GetVersion(), Loaded: make(map[cardamom.ModelID][]string, len(wire.GetHeld())),
 	}
 	for _, held := range wire.GetHeld() {
 		upstream.Loaded[cardamom.ModelID(held.GetModel())] = held.GetAdapters()
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -255,8 +255,8 @@
 		// A leaving upstream is not live again in the same run: this data is older.
 		return
 	}
-	if !ok || known.State != upstream.State {
-		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
+	if !ok || known.State != upstream.State || known.Version != upstream.Version {
+		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address, "software", upstream.Version,
 			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.RegistrationSeq, "origin", origin)
 	}
 	l.state.upstreams[upstream.ID] = upstream
--- a/coord/term.go
+++ b/coord/term.go
@@ -204,7 +204,7 @@
 func (t *term) publish(upstream *site.Upstream) {
 	known, ok := t.published[upstream.ID]
 	if ok && known.upstream.State == upstream.State && known.upstream.Address == upstream.Address &&
-		known.upstream.StartedMs == upstream.StartedMs && reflect.DeepEqual(known.upstream.Loaded, upstream.Loaded) {
+		known.upstream.StartedMs == upstream.StartedMs && known.upstream.Version == upstream.Version && reflect.DeepEqual(known.upstream.Loaded, upstream.Loaded) {
 		return
 	}
 	t.change++
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -60,6 +60,11 @@
 	t.Add(fmt.Sprintf("responses_total{kind=%q,framing=%q,cut=%q}", kind, framing, strconv.FormatBool(cut)), 1)
 }
 
+// CountResumption counts a stream that goes on, by what resumed it.
+func (t *Tally) CountResumption(by string) {
+	t.Add(fmt.Sprintf("streams_resumed_total{by=%q}", by), 1)
+}
+
 // CountRetry counts a retry by service and by whether the budget allowed it.
 func (t *Tally) CountRetry(service string, allowed bool) {
 	t.Add(fmt.Sprintf("retries_total{service=%q,allowed=%q}", service, strconv.FormatBool(allowed)), 1)
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -228,8 +228,8 @@
 		// the same run.
 		return
 	}
-	if known.State != upstream.State || known.Address != upstream.Address {
-		known.State, known.Address, known.Remaining = upstream.State, upstream.Address, upstream.Remaining
+	if known.State != upstream.State || known.Address != upstream.Address || known.Version != upstream.Version {
+		known.State, known.Address, known.Version, known.Remaining = upstream.State, upstream.Address, upstream.Version, upstream.Remaining
 		pl.markChanged(known)
 	}
 	if upstream.RegistrationSeq <= known.RegistrationSeq {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,8 @@
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
+	// software is the version of the upstream that answered last.
+	software string
 	// refusedPart is the part of the prompt for which the request was refused.
 	refusedPart string
 	// triesPart is a refused part for which the request was let through as a trial.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,6 +65,9 @@
 	SharedParts []string
 	// LastEventID is the id of the last stream event that the caller received.
 	LastEventID string
+	// Resumes is the id of the request whose response brought the first event of the
+	// stream that the caller takes up, empty if the request takes up none.
+	Resumes string
 }
 
 // ForwardOptions is what is sent to an upstream in addition to the caller's headers.
@@ -122,6 +125,9 @@
 	CountResponse(kind, framing string, cut bool)
 	// CountRetry counts a retry by service and by whether the budget allowed it.
 	CountRetry(service string, allowed bool)
+	// CountResumption counts a stream that goes on: within its response, or after its
+	// caller came back.
+	CountResumption(by string)
 	// CountPermit counts the answer to a request for a permit.
 	CountPermit(answer string)
 	// CountRateLimit counts a change of the rate limit of an upstream.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,7 @@
 	var partial []byte
 	var lastEvent time.Time
 	rest := streamRest{framing: response.Framing()}
+	resumed := x.headerSent
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Read(buffer)
@@ -76,6 +77,7 @@
 			if !rest.hasEvents {
 				rest.hasEvents, x.progress = true, hasEvents
 				x.survived()
+				x.logResumption(upstream, resumed)
 			}
 			flusher.Flush()
 			x.delivery.written(read, time.Now())
@@ -104,6 +106,21 @@
 	}
 }
 
+// logResumption logs that a stream goes on: within its response, or in the response to a
+// caller that came back.
+func (x *exchange) logResumption(upstream *site.Upstream, within bool) {
+	before := x.software
+	x.software = upstream.Version
+	by := "response"
+	if !within {
+		if by = "caller"; x.info.LastEventID == "" && x.info.Resumes == "" {
+			return
+		}
+	}
+	x.server.Metrics.CountResumption(by)
+	x.log.Info("stream_resumed", "request", x.info.ID, "resumes", x.info.Resumes, "upstream", upstream.ID, "software", upstream.Version, "software_before", before, "origin", by)
+}
+
 // writeEvents writes whole events to the caller, and reports whether it succeeded.
 func (x *exchange) writeEvents(response *conns.Response, events []byte) bool {
 	if !x.headerSent {
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -15,6 +15,8 @@
 	RegistrationSeq int64
 	// Slots is the number of requests that it runs at once.
 	Slots int
+	// Version is the version of its software, empty if it is not known.
+	Version string
 	// Remaining is the time until the platform removes it; 0 if unknown.
 	Remaining time.Duration
 	// Loaded maps each loaded model to its loaded adapters.
