--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -165,19 +166,42 @@
 	_, _ = io.WriteString(w, "whole answer to "+id)
 }
 
+// versionMark precedes the version of its upstream's software in an event.
+const versionMark = " of "
+
+// VersionsIn returns the versions of the upstreams that sent the events in a body, each
+// once.
+func VersionsIn(body string) []string {
+	var versions []string
+	for _, line := range strings.Split(body, "\n") {
+		if _, version, ok := strings.Cut(line, versionMark); ok && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
+// piece returns the data of an event.
+func (u *Upstream) piece(n int) string {
+	if u.spec.Version == "" {
+		return fmt.Sprintf("piece %d", n)
+	}
+	return fmt.Sprintf("piece %d%s%s", n, versionMark, u.spec.Version)
+}
+
 // streamEnd is what the cut behaviours leave out of a response.
-const streamEnd = "piece 4\n\n"
+func (u *Upstream) streamEnd() string { return u.piece(streamEvents) + "\n\n" }
 
 // streamBody returns the whole body of a stream at once, for writeRaw: the events
 // after the last one that the client received.
-func streamBody(lastEventID string) string {
+func (u *Upstream) streamBody(lastEventID string) string {
 	after := 0
 	if _, err := fmt.Sscan(lastEventID, &after); err != nil {
 		after = 0
 	}
 	var all strings.Builder
 	for n := after + 1; n <= streamEvents; n++ {
-		fmt.Fprintf(&all, "id: %d\ndata: piece %d\n\n", n, n)
+		fmt.Fprintf(&all, "id: %d\ndata: %s\n\n", n, u.piece(n))
 	}
 	return all.String()
 }
@@ -196,7 +220,7 @@
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, u.piece(n))
 		w.(http.Flusher).Flush()
 	}
 }
@@ -211,11 +235,11 @@
 	defer connection.Close()
 	body := "whole answer to " + id
 	if r.Header.Get("Model") != "" {
-		body = streamBody(r.Header.Get("Last-Event-Id"))
+		body = u.streamBody(r.Header.Get("Last-Event-Id"))
 	}
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: seal." + u.spec.ID + "\r\n"
 	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	cut := body[:max(len(body)-len(streamEnd), 0)]
+	cut := body[:max(len(body)-len(u.streamEnd()), 0)]
 	switch behaviour {
 	case UnframedCut:
 		_, _ = buffered.WriteString(head + "\r\n" + cut)
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -117,6 +118,9 @@
 	MaxModels int
 	// Unfenced makes the engine accept orders with an older fencing token.
 	Unfenced bool
+	// Version is the version of its software: its registration has it and its events end
+	// with it. Empty registers version v1 and leaves the events as they are.
+	Version string
 	// WithLink puts a Link, a fault-injecting TCP proxy, in front of the upstream.
 	WithLink bool
 }
@@ -294,7 +298,7 @@
 	}
 	u.heartbeats++
 	value, err := json.Marshal(map[string]any{
-		"service": u.spec.Service, "address": u.Address(), "zone": u.spec.DataCentre, "version": "v1", "slots": u.spec.Slots,
+		"service": u.spec.Service, "address": u.Address(), "zone": u.spec.DataCentre, "version": cmp.Or(u.spec.Version, "v1"), "slots": u.spec.Slots,
 		"state": u.state, "seq": u.heartbeats, "born": u.startedMS, "models": u.models(), "atHand": u.localModels(),
 	})
 	u.mu.Unlock()
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -227,7 +227,11 @@
 	Model string
 	// Prefix lists the parts of the prompt, empty to send none.
 	Prefix string
-	Body   string
+	// Resumes and LastEventID name the stream that the caller takes up and the last event
+	// that it has, empty to send neither.
+	Resumes     string
+	LastEventID string
+	Body        string
 	// Address is the host:port to connect to.
 	Address string
 }
@@ -290,6 +294,12 @@
 	if request.Prefix != "" {
 		httpRequest.Header.Set("Prompt-Prefix", request.Prefix)
 	}
+	if request.Resumes != "" {
+		httpRequest.Header.Set("Resumes", request.Resumes)
+	}
+	if request.LastEventID != "" {
+		httpRequest.Header.Set("Last-Event-Id", request.LastEventID)
+	}
 	// Without GetBody the HTTP client does not retry a failed request by itself.
 	httpRequest.GetBody = nil
 	response, err := client.Do(httpRequest)
