Let streams go on only at the software version that began them

Cause: nothing asked for a version. A stream that broke off went on at any upstream with the model, inside its response and when its caller came back at another instance. Why this fixes it: a stream is bound to the version of the run that sends its first event. Inside its response and in the response to a caller that comes back only upstreams of that version are considered, also after each wait, and a model that is awaited has to be ready there. Who began a stream is recorded before the first event is passed on, and told to three other instances by the hash of its id, unless every instance can infer it: the service has had one version for as long as a caller may come back. The history of versions is exchanged and stands in the lease row, as all instances may start again at once. A stream that nobody knows is refused at once, without Retry-After, and not run. An engine that reports another start than it has registered has an unknown version until it registers again.

--- a/await/await.go
+++ b/await/await.go
@@ -49,6 +49,8 @@
 	Service cardamom.ServiceID
 	Model   cardamom.ModelID
 	Adapter string
+	// Version is the software version that the upstream has to have, empty for any.
+	Version string
 }
 
 // Verdict is the result of a wait.
@@ -180,7 +182,7 @@
 		clear(g.unreachable)
 		w.mu.Unlock()
 		answer := w.coordinator.Await(context.Background(), coord.Need{
-			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: waiting, CallTimeout: callTimeout, RemainingTime: remaining, Unreachable: unreachable,
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Version: key.Version, Waiting: waiting, CallTimeout: callTimeout, RemainingTime: remaining, Unreachable: unreachable,
 		})
 		w.apply(g, answer, time.Now())
 		callTimeout = maxCallTimeout
--- a/coord/adopt.go
+++ b/coord/adopt.go
@@ -29,6 +29,7 @@
 		reply.Upstreams = append(reply.Upstreams, encodeUpstream(upstream))
 	}
 	reply.Members = encodeMembers(l.state.members)
+	reply.History = encodeHistory(l.state.history.Account(now), now)
 }
 
 // adoptState takes over what an instance that doesn't coordinate knows, as far as this one
@@ -49,7 +50,9 @@
 			l.setUpstream(upstream, "member")
 		}
 	}
+	l.mergeHistory(reply.GetHistory(), began)
 	l.state.upstreamsConfirmed = before(reply.GetUpstreamsAgeMs(), began)
+	l.confirmVersions(l.state.upstreamsConfirmed)
 	if len(l.state.members) == 0 {
 		for _, wire := range reply.GetMembers() {
 			l.state.members = append(l.state.members, decodeMember(wire))
--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -15,6 +15,7 @@
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -51,7 +52,7 @@
 func newLoop(id cardamom.InstanceID, result site.OrderResult) *Loop {
 	l := New(Options{
 		ID: id, EntryAddress: string(id) + ":1", SyncAddress: string(id) + ":2", LeaseDuration: 3 * time.Second, Engines: engines{result},
-		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Logger: hclog.NewNullLogger(),
+		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Origins: origin.NewBook(), Logger: hclog.NewNullLogger(),
 	})
 	l.ctx, l.noCoordinatorSince = context.Background(), clock.Now()
 	return l
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -33,9 +34,10 @@
 	peerConnectTimeout = 300 * time.Millisecond
 )
 
-// peers keeps a client for each address.
+// peers keeps a client for each address. It is safe for concurrent use.
 type peers struct {
 	client  *http.Client
+	mu      sync.Mutex
 	clients map[string]syncpb.Sync
 }
 
@@ -46,6 +48,8 @@
 }
 
 func (p *peers) dial(address string) syncpb.Sync {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	client, ok := p.clients[address]
 	if !ok {
 		client = syncpb.NewSyncProtobufClient("http://"+address, p.client)
@@ -263,6 +267,8 @@
 		l.state.members = members
 		l.viewChanged = true
 	}
+	l.mergeHistory(reply.GetHistory(), began)
+	l.confirmVersions(l.state.upstreamsConfirmed)
 	l.applyPeerStats(reply, began)
 	if refreshed {
 		// While the coordinator's data was stale, this instance read the platform
--- a/coord/follow.go
+++ b/coord/follow.go
@@ -207,4 +207,9 @@
 		}
 		l.removeUpstream(id, "platform")
 	}
+	for _, upstream := range listing.Present {
+		// The plan publishes it later.
+		l.state.history.See(upstream.Service, upstream.Version, began)
+	}
+	l.confirmVersions(began)
 }
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -55,6 +55,10 @@
 	// upstreams.
 	Suspects []wireSuspect `json:"suspects,omitempty"`
 	Parts    []wirePart    `json:"parts,omitempty"`
+	// Versions are the software versions of recent upstreams. They are kept in the row
+	// because all instances may start again at once, and would not know any more whether a
+	// service had several.
+	Versions *wireVersions `json:"versions,omitempty"`
 }
 
 // wireSuspect is a request that upstreams died of.
@@ -86,6 +90,7 @@
 		l.state.ledger.Merge(decodeStoredSuspects(wire.Suspects, time.Now()), time.Now())
 		l.mergeStoredParts(wire.Parts)
 	}
+	l.mergeStoredVersions(wire.Versions, wire.Incarnation, wire.Renewed)
 	return lease.Row{Version: row.Version(), Holder: cardamom.InstanceID(wire.Holder), Address: wire.Address, Released: wire.Released, Renewed: wire.Renewed, Incarnation: wire.Incarnation}
 }
 
@@ -96,7 +101,7 @@
 	}
 	value, err := json.Marshal(wireLease{
 		Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now())),
-		Parts: encodeStoredParts(l.options.Parts.Evidence(clock.Now()), clock.Now()),
+		Parts: encodeStoredParts(l.options.Parts.Evidence(clock.Now()), clock.Now()), Versions: encodeStoredVersions(l.state.history.Account(clock.Now()), clock.Now()),
 	})
 	if err != nil {
 		return nil
@@ -297,6 +302,9 @@
 			return
 		}
 		if l.term == nil && !l.leaving {
+			if fresh {
+				l.state.history.Start(began)
+			}
 			l.beginTerm(fresh, now)
 		}
 	case errors.Is(err, table.ErrConflict):
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -11,6 +11,7 @@
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -75,6 +76,7 @@
 	Parts     *poison.Parts
 	Limits    *quota.Book
 	Notices   *notice.Book
+	Origins   *origin.Book
 	Logger    hclog.Logger
 }
 
@@ -99,9 +101,13 @@
 	// noCoordinatorSince is when the instance started or last lost its coordinator.
 	noCoordinatorSince time.Time
 	// term is nil while this instance is not the coordinator.
-	term       *term
-	peers      *peers
-	exchanging bool
+	term    *term
+	peers   *peers
+	origins *originTeller
+	// soleServices are the services of which all instances could infer the version at the
+	// last step.
+	soleServices map[cardamom.ServiceID]bool
+	exchanging   bool
 	// lastExchange is when an exchange last began; zero makes the next one due.
 	lastExchange time.Time
 	// reportSoon means that the next exchange need not wait for its interval.
@@ -145,9 +151,10 @@
 func New(options Options) *Loop {
 	l := &Loop{
 		options: options, logger: options.Logger, events: make(chan func(time.Time), eventQueueSize), views: newViewStore(),
-		state: &controlState{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), storeConcurrency: make(map[cardamom.ServiceID]plan.StoreConcurrency), removals: make(map[cardamom.UpstreamID]removal), restored: newRestoration(), ledger: options.Ledger},
+		state: &controlState{upstreams: make(map[cardamom.UpstreamID]*site.Upstream), storeConcurrency: make(map[cardamom.ServiceID]plan.StoreConcurrency), removals: make(map[cardamom.UpstreamID]removal), restored: newRestoration(), history: origin.NewHistory(), ledger: options.Ledger},
 		lease: lease.New(options.ID, options.LeaseDuration), peers: newPeers(), ctx: context.Background(),
 	}
+	l.origins = newOriginTeller(l)
 	options.Demand.OnStart(l.requestStarted)
 	options.Parts.OnChange(l.partsChanged)
 	options.Notices.OnLeave(l.leaveNoticed)
@@ -162,6 +169,7 @@
 func (l *Loop) Run(ctx context.Context) error {
 	l.ctx = ctx
 	l.noCoordinatorSince = clock.Now()
+	go l.origins.run(ctx)
 	go l.followCatalog(ctx)
 	go l.followUpstreams(ctx)
 	timer := time.NewTimer(0)
@@ -211,6 +219,7 @@
 	l.stepLease(now)
 	l.stepExchange(now)
 	l.tellMembers(now)
+	l.stepOrigins(now)
 	l.options.Parts.AllowTrials(l.term != nil)
 	wait := tickInterval
 	if t := l.term; t != nil {
@@ -260,6 +269,7 @@
 			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.RegistrationSeq, "origin", origin)
 	}
 	l.state.upstreams[upstream.ID] = upstream
+	l.state.history.See(upstream.Service, upstream.Version, clock.Now())
 	l.viewChanged = true
 }
 
--- a/coord/need.go
+++ b/coord/need.go
@@ -46,6 +46,8 @@
 	Service cardamom.ServiceID
 	Model   cardamom.ModelID
 	Adapter string
+	// Version is the software version that the upstream has to have, empty for any.
+	Version string
 	Waiting int
 	// Unreachable are the upstreams that have the model loaded but could not be
 	// reached.
@@ -70,7 +72,7 @@
 // it or the call's time is up. If one is ready, the view lists it by then.
 func (l *Loop) Await(ctx context.Context, need Need) AwaitResult {
 	request := &syncpb.AwaitRequest{
-		Service: string(need.Service), Model: string(need.Model), Adapter: need.Adapter, Waiting: int32(need.Waiting),
+		Service: string(need.Service), Model: string(need.Model), Adapter: need.Adapter, Version: need.Version, Waiting: int32(need.Waiting),
 		HoldMs: need.CallTimeout.Milliseconds(), NeedMs: need.RemainingTime.Milliseconds(), Instance: string(l.options.ID),
 	}
 	request.Waits = encodeWaits(l.options.Notices.Waits(clock.Now()), clock.Now())
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -75,6 +75,7 @@
 		l.post(func(now time.Time) {
 			if t := l.term; t != nil && t.number == number {
 				if p, ok := t.plans[service]; ok {
+					t.recordRestart(upstream.ID, report, now)
 					p.Report(upstream.ID, report, now)
 					t.recordLimit(upstream.ID, report.RateLimit, now)
 					t.recordLeave(upstream.ID, report, now)
@@ -83,3 +84,16 @@
 		})
 	}()
 }
+
+// recordRestart records that an engine has started again under its id before it is
+// registered so. Its software may have another version by then.
+func (t *term) recordRestart(id cardamom.UpstreamID, report site.Report, now time.Time) {
+	known, ok := t.loop.state.upstreams[id]
+	if !ok || report.StartedMs <= known.StartedMs {
+		return
+	}
+	t.logger.Info("upstream_restarted", "upstream", id, "software_before", known.Version, "origin", "report")
+	restarted := *known
+	restarted.StartedMs, restarted.RegistrationSeq, restarted.Version, restarted.Loaded = report.StartedMs, 0, "", report.Loaded
+	t.update(&restarted, now)
+}
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -69,7 +69,7 @@
 	l.logLimits(l.options.Limits.Merge(decodeLimits(request.GetLimits(), now)), "member")
 	reply := &syncpb.ExchangeReply{
 		Coordinates: true, Tenure: t.number, Change: t.change, Parts: parts,
-		UpstreamsAgeMs: now.Sub(l.state.upstreamsConfirmed).Milliseconds(), CatalogAgeMs: now.Sub(l.state.catalogConfirmed).Milliseconds(),
+		History: encodeHistory(l.state.history.Account(now), now), UpstreamsAgeMs: now.Sub(l.state.upstreamsConfirmed).Milliseconds(), CatalogAgeMs: now.Sub(l.state.catalogConfirmed).Milliseconds(),
 	}
 	if l.state.catalog != nil {
 		reply.Catalog = l.state.catalog.Version()
@@ -145,7 +145,7 @@
 // with the address of the lease's holder.
 func (l *Loop) await(ctx context.Context, request *syncpb.AwaitRequest) (*syncpb.AwaitReply, error) {
 	a := &awaitCall{
-		service: cardamom.ServiceID(request.GetService()), model: cardamom.ModelID(request.GetModel()), adapter: request.GetAdapter(),
+		service: cardamom.ServiceID(request.GetService()), model: cardamom.ModelID(request.GetModel()), adapter: request.GetAdapter(), version: request.GetVersion(),
 		reply: make(chan *syncpb.AwaitReply, 1),
 	}
 	l.post(func(now time.Time) {
@@ -158,7 +158,11 @@
 		t.mergeWaits(request.GetWaits(), now)
 		if p, ok := t.plans[a.service]; ok {
 			need := min(time.Duration(request.GetNeedMs())*time.Millisecond, maxWantTime)
-			p.RecordWait(a.model, a.adapter, now.Add(need))
+			// A load that ends too late for a stream to go on serves no other request.
+			remaining := time.Duration(request.GetNeedMs()) * time.Millisecond
+			if wait, known := p.ReadyInAtVersion(a.model, a.adapter, a.version, now); a.version == "" || known && wait <= remaining {
+				p.RecordWaitAtVersion(a.model, a.adapter, a.version, now.Add(need))
+			}
 			if waiting := int(request.GetWaiting()); waiting > 0 {
 				p.RaiseWaiting(a.model, waiting)
 			}
--- a/coord/term.go
+++ b/coord/term.go
@@ -104,6 +104,8 @@
 	service cardamom.ServiceID
 	model   cardamom.ModelID
 	adapter string
+	// version is the software version that the upstream has to have, empty for any.
+	version string
 	until   time.Time
 	reply   chan *syncpb.AwaitReply
 }
@@ -325,11 +327,11 @@
 	if !ok {
 		return reply
 	}
-	for _, upstream := range p.Ready(a.model, a.adapter, now) {
+	for _, upstream := range p.ReadyAtVersion(a.model, a.adapter, a.version, now) {
 		reply.Ready = true
 		reply.Upstreams = append(reply.Upstreams, encodeUpstream(upstream))
 	}
-	if wait, known := p.ReadyIn(a.model, a.adapter, now); known {
+	if wait, known := p.ReadyInAtVersion(a.model, a.adapter, a.version, now); known {
 		reply.ExpectedMs = wait.Milliseconds()
 	}
 	return reply
--- a/coord/view.go
+++ b/coord/view.go
@@ -27,6 +27,8 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
@@ -59,6 +61,7 @@
 	coordinates bool
 	// restores is how often the store returned from an older copy.
 	restores int
+	versions *origin.Snapshot
 }
 
 // UpstreamStats are the requests that instances have in flight at an upstream, and
@@ -70,9 +73,11 @@
 
 // NewView returns a view of a catalog and upstreams.
 func NewView(catalog *site.Catalog, upstreams []*site.Upstream, members []Member) *View {
-	s := controlState{catalog: catalog, upstreams: make(map[cardamom.UpstreamID]*site.Upstream), members: members, restored: newRestoration()}
+	s := controlState{catalog: catalog, upstreams: make(map[cardamom.UpstreamID]*site.Upstream), members: members, restored: newRestoration(), history: origin.NewHistory()}
+	s.history.Start(clock.Now())
 	for _, upstream := range upstreams {
 		s.upstreams[upstream.ID] = upstream
+		s.history.See(upstream.Service, upstream.Version, clock.Now())
 	}
 	return s.view()
 }
@@ -105,6 +110,16 @@
 // Coordinates reports whether this instance coordinates.
 func (v *View) Coordinates() bool { return v.coordinates }
 
+// SoleVersion returns the software version that began every stream of a service whose
+// caller may still come back, and false if there may be several.
+func (v *View) SoleVersion(service cardamom.ServiceID, now time.Time) (string, bool) {
+	return v.versions.Sole(service, now)
+}
+
+// VersionsSettled reports whether this instance has learned since its start which versions
+// there were before.
+func (v *View) VersionsSettled() bool { return v.versions.Settled() }
+
 // Restores returns how often the store has returned from an older copy since the
 // instance started, as far as it read registrations.
 func (v *View) Restores() int { return v.restores }
@@ -142,6 +157,8 @@
 	// removals are the upstreams whose removal this instance saw on the platform.
 	removals map[cardamom.UpstreamID]removal
 	restored *restoration
+	// history has the software versions of upstreams, those that are gone too.
+	history *origin.History
 }
 
 // removal records that the platform no longer lists an upstream.
@@ -177,7 +194,7 @@
 	v := &View{
 		catalog: s.catalog, services: make(map[cardamom.ServiceID][]*site.Upstream),
 		upstreams: make(map[cardamom.UpstreamID]*site.Upstream, len(s.upstreams)),
-		peerStats: s.peerStats, members: s.members, membersConfirmed: s.membersConfirmed, upstreamsConfirmed: s.upstreamsConfirmed, restores: s.restored.count,
+		peerStats: s.peerStats, members: s.members, membersConfirmed: s.membersConfirmed, upstreamsConfirmed: s.upstreamsConfirmed, restores: s.restored.count, versions: s.history.Snapshot(),
 	}
 	for id, upstream := range s.upstreams {
 		v.upstreams[id] = upstream
--- a/front/provide.go
+++ b/front/provide.go
@@ -13,6 +13,7 @@
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
@@ -27,19 +28,19 @@
 // Set is the Wire provider set of an instance.
 var Set = wire.NewSet(
 	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget, provideParts,
-	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, notice.NewBook, metric.New, newShutdownState, New,
+	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, notice.NewBook, origin.NewBook, metric.New, newShutdownState, New,
 )
 
 func provideStore(settings *Settings, logger hclog.Logger) *platform.Store {
 	return platform.NewStore(settings.store, logger.Named("store"))
 }
 
-func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, logger hclog.Logger) coord.Options {
+func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, logger hclog.Logger) coord.Options {
 	return coord.Options{
 		ID: settings.instance, EntryAddress: settings.listen.Entry, SyncAddress: settings.listen.Sync, Seeds: settings.seeds,
 		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), Clock: store.Clock, Table: platform.NewTable(store, systemTable),
 		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: platform.NewEngineClient(),
-		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Logger: logger.Named("coord"),
+		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Origins: origins, Logger: logger.Named("coord"),
 	}
 }
 
@@ -62,6 +63,6 @@
 func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
 		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Waiters: waiters, Pool: pool, Demand: counter,
-		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Permits: loop, Alone: quota.NewShare(rand.Float64), Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
+		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Permits: loop, Alone: quota.NewShare(rand.Float64), Origins: loop, Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
 	})
 }
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -12,6 +12,7 @@
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -32,7 +33,8 @@
 	parts := provideParts(settings)
 	book := quota.NewBook()
 	noticeBook := notice.NewBook()
-	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, logger)
+	originBook := origin.NewBook()
+	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, originBook, logger)
 	loop := coord.New(options)
 	tally := metric.New()
 	pool := providePool(tally)
--- /dev/null
+++ b/origin/history.go
@@ -0,0 +1,170 @@
+package origin
+
+import (
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+)
+
+const (
+	// maxHistoryGap is the longest time without a listing of the upstreams that a history
+	// bridges. A version that came and went within it would have to be listed, loaded with
+	// a model and used by instances that all ended since.
+	maxHistoryGap = 30 * time.Second
+	// rememberedFor is how long after its last listing a version may have begun a stream
+	// whose caller comes back: instances whose listing is old may have used it longer.
+	rememberedFor = Lifetime + maxHistoryGap
+	// maxListingAge is the age of the last listing from which a history doesn't know
+	// whether there is another version by now. Loading a model at a new upstream takes
+	// longer.
+	maxListingAge = 5 * time.Second
+	// maxSightings bounds the versions that one instance tells another.
+	maxSightings = 128
+)
+
+// Sighting is when an upstream of a service with a version was last listed.
+type Sighting struct {
+	Service cardamom.ServiceID
+	Version string
+	At      time.Time
+}
+
+// Account is a history as instances tell it to each other.
+type Account struct {
+	// Since is from when on it has every version, zero if from the start of the
+	// deployment.
+	Since time.Time
+	// Confirmed is until when it has them, zero if it has none.
+	Confirmed time.Time
+	Sightings []Sighting
+}
+
+// History has the versions of the upstreams of each service, those of upstreams that are
+// gone too. It is not safe for concurrent use.
+type History struct {
+	// since is from when on the history has every version, zero if from the start of the
+	// deployment.
+	since time.Time
+	// confirmed is when the upstreams were last listed, zero if never.
+	confirmed time.Time
+	seen      map[cardamom.ServiceID]map[string]time.Time
+	// settled means that the history of others has been merged, or that there is none.
+	settled bool
+}
+
+// NewHistory returns the history of an instance that knows nothing.
+func NewHistory() *History {
+	return &History{seen: make(map[cardamom.ServiceID]map[string]time.Time)}
+}
+
+// Start records that the deployment has just started, so that there was no version before.
+func (h *History) Start(now time.Time) {
+	h.since, h.confirmed, h.settled = time.Time{}, now, true
+}
+
+// See records that an upstream of a service with a version is listed.
+func (h *History) See(service cardamom.ServiceID, version string, at time.Time) {
+	versions, ok := h.seen[service]
+	if !ok {
+		versions = make(map[string]time.Time)
+		h.seen[service] = versions
+	}
+	if at.After(versions[version]) {
+		versions[version] = at
+	}
+}
+
+// Confirm records that the versions seen since the last call are all that were listed at a
+// time.
+func (h *History) Confirm(at time.Time) {
+	if h.confirmed.IsZero() || at.Sub(h.confirmed) > maxHistoryGap {
+		h.since = at
+	}
+	if at.After(h.confirmed) {
+		h.confirmed = at
+	}
+	for service, versions := range h.seen {
+		for version, seen := range versions {
+			if at.Sub(seen) > rememberedFor {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.seen, service)
+		}
+	}
+}
+
+// Merge adds what another instance tells, or what the lease row has. An account that
+// reaches back further extends the history unless there is a gap between the two.
+func (h *History) Merge(account Account) {
+	for _, s := range account.Sightings {
+		h.See(s.Service, s.Version, s.At)
+	}
+	h.settled = true
+	switch {
+	case account.Confirmed.IsZero():
+	case h.confirmed.IsZero():
+		h.since, h.confirmed = account.Since, account.Confirmed
+	case account.Since.Before(h.since) && h.since.Sub(account.Confirmed) <= maxHistoryGap:
+		h.since = account.Since
+	}
+}
+
+// Account returns the history to tell others, one without sightings or times if it has too
+// many versions.
+func (h *History) Account(now time.Time) Account {
+	account := Account{Since: h.since, Confirmed: h.confirmed}
+	for service, versions := range h.seen {
+		for version, seen := range versions {
+			if now.Sub(seen) < rememberedFor {
+				account.Sightings = append(account.Sightings, Sighting{service, version, seen})
+			}
+		}
+	}
+	if len(account.Sightings) > maxSightings {
+		return Account{}
+	}
+	return account
+}
+
+// Snapshot returns the history as it is now.
+func (h *History) Snapshot() *Snapshot {
+	s := &Snapshot{since: h.since, confirmed: h.confirmed, settled: h.settled, sole: make(map[cardamom.ServiceID]string)}
+	for service, versions := range h.seen {
+		recent := 0
+		for version, seen := range versions {
+			if h.confirmed.Sub(seen) < rememberedFor {
+				recent++
+				s.sole[service] = version
+			}
+		}
+		if recent != 1 || s.sole[service] == "" {
+			delete(s.sole, service)
+		}
+	}
+	return s
+}
+
+// Snapshot is a history at one moment. It is immutable; the zero value knows nothing.
+type Snapshot struct {
+	since     time.Time
+	confirmed time.Time
+	settled   bool
+	// sole has the services with one version only.
+	sole map[cardamom.ServiceID]string
+}
+
+// Sole returns the version that began every stream of a service whose caller may still come
+// back, and false if there may be several.
+func (s *Snapshot) Sole(service cardamom.ServiceID, now time.Time) (string, bool) {
+	if s == nil || s.confirmed.IsZero() || now.Sub(s.confirmed) > maxListingAge || !s.since.IsZero() && now.Sub(s.since) < Lifetime {
+		return "", false
+	}
+	version, ok := s.sole[service]
+	return version, ok
+}
+
+// Settled reports whether the history has what others know, which an instance learns a
+// moment after its start.
+func (s *Snapshot) Settled() bool { return s != nil && s.settled }
--- a/plan/decide.go
+++ b/plan/decide.go
@@ -127,8 +127,12 @@
 		if key.adapter != "" {
 			issue(pl.adapterOrder(key, now))
 		}
-		if pl.replicas(key.model) == pl.awayReplicas(key.model, now) {
-			order, ok := pl.loadOrder(key.model, "wanted", now)
+		isMissing := pl.replicas(key.model) == pl.awayReplicas(key.model, now)
+		if key.version != "" {
+			isMissing = pl.replicasAt(key.version, key.model) == 0
+		}
+		if isMissing {
+			order, ok := pl.loadOrder(key.model, key.version, "wanted", now)
 			if ok {
 				pl.swaps.arrivals, pl.swaps.updated = pl.swaps.decayedArrivals(now)+1, now
 			}
@@ -138,11 +142,11 @@
 	models := pl.modelsByDemand()
 	for _, model := range models {
 		if d, ok := pl.demands[model]; ok && pl.replicas(model) < pl.wantedReplicas(model, now) && d.lastArrival.After(now.Add(-demandDecay)) && pl.replicas(model) > 0 {
-			issue(pl.loadOrder(model, "demand", now))
+			issue(pl.loadOrder(model, "", "demand", now))
 		}
 	}
 	for _, load := range pl.preloads(models, now) {
-		issue(pl.loadOrder(load.model, load.reason, now))
+		issue(pl.loadOrder(load.model, "", load.reason, now))
 	}
 	return orders
 }
@@ -237,7 +241,7 @@
 		list = append(list, activeWait{key, max(float64(d.waiting), d.rate(now)*needWindow.Seconds())})
 	}
 	slices.SortFunc(list, func(a, b activeWait) int {
-		return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.adapter, b.key.adapter))
+		return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.adapter, b.key.adapter), cmp.Compare(a.key.version, b.key.version))
 	})
 	keys := make([]modelKey, 0, len(list))
 	for _, wait := range list {
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -64,6 +64,8 @@
 type modelKey struct {
 	model   cardamom.ModelID
 	adapter string
+	// version is the software version that the engine has to have, empty for any.
+	version string
 }
 
 // Arrived counts requests for a model. tokens is the size of all their prompts
@@ -105,7 +107,13 @@
 // RecordWait records that requests wait for a model or adapter until the given
 // time.
 func (pl *Planner) RecordWait(model cardamom.ModelID, adapter string, until time.Time) {
-	key := modelKey{model, adapter}
+	pl.RecordWaitAtVersion(model, adapter, "", until)
+}
+
+// RecordWaitAtVersion is RecordWait for requests that only engines with a software version
+// may run, any if it is empty.
+func (pl *Planner) RecordWaitAtVersion(model cardamom.ModelID, adapter, version string, until time.Time) {
+	key := modelKey{model, adapter, version}
 	if until.After(pl.waits[key]) {
 		pl.waits[key] = until
 	}
--- a/plan/eviction.go
+++ b/plan/eviction.go
@@ -17,10 +17,12 @@
 // a model in demand, "absent" for a model that no engine has in memory or on disk, and
 // "spare" for a model in demand that too few engines have there.
 //
+// Only engines with the software version are considered, all if it is empty.
+//
 // loadOrder returns false if no order is to be sent now: the model is unknown, no
 // engine can load it, or the engine where that costs least is busy. In the last case
 // it adds the time of the load to the reserved time of that engine.
-func (pl *Planner) loadOrder(model cardamom.ModelID, reason string, now time.Time) (PlannedOrder, bool) {
+func (pl *Planner) loadOrder(model cardamom.ModelID, version, reason string, now time.Time) (PlannedOrder, bool) {
 	spec, ok := pl.spec.Models[model]
 	if !ok {
 		return PlannedOrder{}, false
@@ -29,7 +31,7 @@
 	var bestEvicted cardamom.ModelID
 	lowestCost := math.Inf(1)
 	for _, e := range pl.sorted() {
-		if !e.live() || e.suspicion.suspected || e.loadedAfterOrder(model) {
+		if !e.hasVersion(version) || !e.live() || e.suspicion.suspected || e.loadedAfterOrder(model) {
 			continue
 		}
 		busy := pl.busyTime(e, now)
@@ -199,7 +201,7 @@
 	var unload site.Order
 	lowestCost := math.Inf(1)
 	for _, e := range pl.sorted() {
-		if _, ok := e.usableView().Loaded[key.model]; !ok || !e.live() {
+		if _, ok := e.usableView().Loaded[key.model]; !ok || !e.live() || !e.hasVersion(key.version) {
 			continue
 		}
 		if e.HasLoaded(key.model, key.adapter) {
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -184,6 +184,12 @@
 // ReadyIn returns how long a request for the model and adapter is expected to
 // wait, and whether that is known.
 func (pl *Planner) ReadyIn(model cardamom.ModelID, adapter string, now time.Time) (time.Duration, bool) {
+	return pl.ReadyInAtVersion(model, adapter, "", now)
+}
+
+// ReadyInAtVersion is ReadyIn for a request that only engines with a software version may
+// run, any if it is empty.
+func (pl *Planner) ReadyInAtVersion(model cardamom.ModelID, adapter, version string, now time.Time) (time.Duration, bool) {
 	best, known := time.Duration(0), false
 	consider := func(wait time.Duration) {
 		if !known || wait < best {
@@ -191,7 +197,7 @@
 		}
 	}
 	for _, e := range pl.engines {
-		if !e.live() {
+		if !e.live() || !e.hasVersion(version) {
 			continue
 		}
 		if e.target == model && e.pending != nil {
@@ -211,7 +217,7 @@
 		return best, true
 	}
 	for _, e := range pl.engines {
-		if !e.live() {
+		if !e.live() || !e.hasVersion(version) {
 			continue
 		}
 		wait := pl.loadTime(e, model) + reportInterval
--- a/plan/ready.go
+++ b/plan/ready.go
@@ -31,12 +31,32 @@
 	return &view
 }
 
+// hasVersion reports whether the engine has a software version, which is any if empty.
+func (e *engine) hasVersion(version string) bool { return version == "" || e.Version == version }
+
+// replicasAt returns how many engines with a software version have a model or will have it.
+func (pl *Planner) replicasAt(version string, model cardamom.ModelID) int {
+	count := 0
+	for _, e := range pl.engines {
+		if e.hasVersion(version) && e.live() && (e.loadedAfterOrder(model) || e.target == model) {
+			count++
+		}
+	}
+	return count
+}
+
 // Ready returns the engines that can run requests for the model and adapter now.
 func (pl *Planner) Ready(model cardamom.ModelID, adapter string, now time.Time) []*site.Upstream {
+	return pl.ReadyAtVersion(model, adapter, "", now)
+}
+
+// ReadyAtVersion is Ready for requests that only engines with a software version may run,
+// any if it is empty.
+func (pl *Planner) ReadyAtVersion(model cardamom.ModelID, adapter, version string, now time.Time) []*site.Upstream {
 	var list []*site.Upstream
 	for _, e := range pl.sorted() {
 		view := e.usableView()
-		if e.live() && !e.suspicion.suspected && pl.quiet(e, now) == 0 && view.HasLoaded(model, adapter) && !now.Before(e.adapterReady[string(model)+"/"+adapter]) {
+		if e.hasVersion(version) && e.live() && !e.suspicion.suspected && pl.quiet(e, now) == 0 && view.HasLoaded(model, adapter) && !now.Before(e.adapterReady[string(model)+"/"+adapter]) {
 			list = append(list, view)
 		}
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,8 @@
 	headerSent bool
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
+	// binding is where the stream began.
+	binding binding
 	// software is the version of the upstream that answered last.
 	software string
 	// refusedPart is the part of the prompt for which the request was refused.
@@ -120,7 +122,7 @@
 		return x.mayContinue()
 	}
 	defer end()
-	if may, _ := x.server.mayGet(upstream); !may {
+	if may, _ := x.server.mayGet(upstream); !may || !x.mayGoOnAt(upstream) {
 		return true
 	}
 	now := time.Now()
--- a/relay/find.go
+++ b/relay/find.go
@@ -154,6 +154,9 @@
 		if upstream.State != cardamom.Live || !may && until.IsZero() {
 			continue
 		}
+		if !x.binding.allows(upstream) {
+			continue
+		}
 		found.listed++
 		if found.needsModel && (!upstream.HasLoaded(x.info.Model, x.info.Adapter) || s.availability.lacks(upstream, x.info, now)) {
 			continue
@@ -219,6 +222,10 @@
 		}
 	}()
 	switch {
+	case x.binding.bound && found.listed == 0:
+		// Another upstream with that version would be needed: none is listed.
+		x.markEnded()
+		x.giveUpFor("stream_version_gone", 0)
 	case full:
 		x.awaitSlot(began)
 	case !found.freeAt.IsZero() && len(found.usable) == 0 && len(found.suspected) == 0:
@@ -310,7 +317,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, maxWait)
 	stop := context.AfterFunc(s.Closing, cancel)
-	verdict := s.Waiters.Wait(ctx, await.Key{Service: x.service, Model: x.info.Model, Adapter: x.info.Adapter}, remaining, suspected...)
+	verdict := s.Waiters.Wait(ctx, await.Key{Service: x.service, Model: x.info.Model, Adapter: x.info.Adapter, Version: x.binding.version()}, remaining, suspected...)
 	stop()
 	cancel()
 	s.Demand.Waiting(x.key, -1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -160,6 +161,7 @@
 	// Alone permits requests to upstreams with a rate limit while no coordinator
 	// answers.
 	Alone   *quota.Share
+	Origins Origins
 	Metrics Metrics
 	// Leaving reports whether responses should close their connection. Closing is
 	// cancelled when new and waiting requests are to be refused.
@@ -207,7 +209,7 @@
 		return
 	}
 	x.route, x.catalog = route, view.Catalog()
-	x.service = route.Pick(xxhash.Sum64String(x.info.ID))
+	x.service = route.Pick(xxhash.Sum64String(cmp.Or(x.info.Resumes, x.info.ID)))
 	if !x.readBody() {
 		return
 	}
@@ -302,6 +304,9 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline())
 	defer cancel()
 	x.ctx = ctx
+	if !x.bindStream() {
+		return
+	}
 	for x.attempt() {
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/await"
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/demand"
@@ -28,6 +29,7 @@
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
@@ -89,6 +91,24 @@
 	return c.result
 }
 
+// origins knows the streams that began at this instance.
+type origins struct {
+	book *origin.Book
+	// began is called when a stream begins or goes on, unless it is nil.
+	began func()
+}
+
+func (o *origins) StreamBegan(service cardamom.ServiceID, request string, began origin.Origin) {
+	o.book.Begin(origin.NewStream(service, request), began, clock.Now())
+	if o.began != nil {
+		o.began()
+	}
+}
+
+func (o *origins) StreamOrigin(_ context.Context, service cardamom.ServiceID, request string) (origin.Origin, origin.Knowledge) {
+	return o.book.Find(origin.NewStream(service, request), clock.Now())
+}
+
 // fixture is a relay in front of upstreams that share a script of behaviours.
 type fixture struct {
 	engines []*host.Upstream
@@ -98,6 +118,7 @@
 	calls atomic.Int32
 	// permits grants the permits for upstreams with a rate limit.
 	permits *permits
+	origins *origins
 	pool    *conns.Pool
 	views   *views
 	catalog *site.Catalog
@@ -108,7 +129,7 @@
 }
 
 func newFixture(result coord.AwaitResult, names ...string) *fixture {
-	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, pool: conns.New(nil), views: &views{}}
+	w := &fixture{suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, origins: &origins{book: origin.NewBook()}, pool: conns.New(nil), views: &views{}}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -118,7 +139,7 @@
 			DeferCleanup(engine.Close)
 			upstreams = append(upstreams, &site.Upstream{
 				Upstream: cardamom.Upstream{ID: cardamom.UpstreamID(name), Service: cardamom.ServiceID(service), Address: engine.Address(), State: cardamom.Live},
-				Slots:    4, Loaded: map[cardamom.ModelID][]string{"m": nil},
+				Version:  "v1", Slots: 4, Loaded: map[cardamom.ModelID][]string{"m": nil},
 			})
 		}
 	}
@@ -141,7 +162,7 @@
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: w.views, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Metrics: metric.New(),
+		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Origins: w.origins, Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
 	w.server = httptest.NewServer(server)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -69,6 +69,9 @@
 		}
 		partial = append(partial, buffer[:n]...)
 		if end := wholeEventsLength(partial); end > 0 {
+			if !rest.hasEvents {
+				x.recordOrigin(upstream)
+			}
 			if !x.writeEvents(response, partial[:end]) {
 				x.end("gone", "caller_left", response.Status())
 				return false
--- a/site/upstream.go
+++ b/site/upstream.go
@@ -54,6 +54,9 @@
 
 // Report is the state that an engine reports.
 type Report struct {
+	// StartedMs is the start time of the run that reports in Unix milliseconds, 0 if it
+	// doesn't say.
+	StartedMs int64
 	// AcceptedOrders is the number of orders that the engine has accepted.
 	AcceptedOrders int64
 	// Busy is true while the engine executes an order.
