Explain a stream that was taken up from the request that began it

cardctl explain shows, for a request that takes a stream up, the lines of the request that began it and of others that took it up; a golden file.

--- a/cmd/cardctl/explain.go
+++ b/cmd/cardctl/explain.go
@@ -42,7 +42,7 @@
 			}
 			encoder := json.NewEncoder(command.OutOrStdout())
 			encoder.SetIndent("", "  ")
-			return encoder.Encode(map[string]any{"request": args[0], "lines": wireLines(timeline.Lines()), "around": wireLines(timeline.Related())})
+			return encoder.Encode(map[string]any{"request": args[0], "lines": wireLines(timeline.Lines()), "stream": wireLines(timeline.Stream()), "around": wireLines(timeline.Related())})
 		},
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -32,6 +32,7 @@
 	"cardamomcourse.example/cardamom/coord"
 	"cardamomcourse.example/cardamom/metric"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -79,6 +80,7 @@
 	metrics     *metric.Tally
 	limits      *quota.Book
 	notices     *notice.Book
+	origins     *origin.Book
 	parts       *poison.Parts
 	shutdown    *shutdownState
 	logger      hclog.Logger
@@ -120,8 +122,8 @@
 }
 
 // New returns an instance; Run starts it.
-func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, parts *poison.Parts, limits *quota.Book, notices *notice.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
-	i := &Instance{settings: settings, loop: loop, pool: pool, parts: parts, limits: limits, notices: notices, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
+func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
+	i := &Instance{settings: settings, loop: loop, pool: pool, parts: parts, limits: limits, notices: notices, origins: origins, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
 	i.entryServer = &http.Server{Handler: entryHandler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: i.idleConns.track}
 	return i
 }
@@ -146,6 +148,7 @@
 	i.metrics.Gauge("store_restores", func() float64 { return float64(i.loop.View().Restores()) })
 	i.metrics.Gauge("members", func() float64 { return float64(len(i.loop.View().Members())) })
 	i.metrics.Gauge("upstreams_limited", func() float64 { return float64(i.limits.InForce()) })
+	i.metrics.Gauge("streams_known", func() float64 { return float64(i.origins.Len()) })
 	i.metrics.Gauge("upstreams_said_leaving", func() float64 { return float64(len(i.notices.Leaving())) })
 	i.metrics.Gauge("upstreams_waiting", func() float64 { return float64(i.notices.Waiting(clock.Now())) })
 	i.metrics.Gauge("parts_suspected", func() float64 { suspected, _ := i.parts.Counts(); return float64(suspected) })
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -44,6 +44,6 @@
 	budget := provideBudget(settings)
 	frontShutdownState := newShutdownState()
 	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, noticeBook, tally, frontShutdownState, logger)
-	instance := New(settings, loop, pool, server, parts, book, noticeBook, tally, frontShutdownState, logger)
+	instance := New(settings, loop, pool, server, parts, book, noticeBook, originBook, tally, frontShutdownState, logger)
 	return instance
 }
--- a/reqlog/reqlog.go
+++ b/reqlog/reqlog.go
@@ -152,6 +152,8 @@
 	id string
 	// lines are the lines that name the request.
 	lines []Line
+	// stream are the lines of the requests that the stream began with or went on in before.
+	stream []Line
 	// related are the other lines, about things that may have affected the request.
 	related []Line
 }
@@ -160,15 +162,22 @@
 // name the request. From 2 s before the request to 2 s after it, it also has the lines
 // that name one of its upstreams or models and no other request, and the lines of
 // events that may affect any request, such as the loss of an instance. Of a request that was
-// refused for a part of its prompt it has all verdicts on the part until then.
+// refused for a part of its prompt it has all verdicts on the part until then. Of a request
+// that takes a stream up it has the lines of the request that began the stream, of others
+// that took it up, and of their upstreams.
 func NewTimeline(id string, lines []Line) Timeline {
 	t := Timeline{id: id}
 	subjects, parts := make(map[string]bool), make(map[string]bool)
+	began := streamOf(id, lines)
 	for _, line := range lines {
-		if line.Value("request") != id {
+		switch {
+		case line.Value("request") == id:
+			t.lines = append(t.lines, line)
+		case began != "" && (line.Value("request") == began || line.Value("resumes") == began):
+			t.stream = append(t.stream, line)
+		default:
 			continue
 		}
-		t.lines = append(t.lines, line)
 		for _, key := range []string{"upstream", "model"} {
 			if value := line.Value(key); value != "" {
 				subjects[key+"="+value] = true
@@ -182,6 +191,7 @@
 		return t
 	}
 	sortLines(t.lines)
+	sortLines(t.stream)
 	from, to := t.window()
 	for _, line := range lines {
 		if line.event == "part_verdict" && parts[line.Value("part")] && line.Value("request") != id && !line.time.After(to) {
@@ -199,6 +209,17 @@
 	return t
 }
 
+// streamOf returns the request that began the stream that a request takes up, empty if it
+// takes up none.
+func streamOf(id string, lines []Line) string {
+	for _, line := range lines {
+		if began := line.Value("resumes"); line.Value("request") == id && began != "" {
+			return began
+		}
+	}
+	return ""
+}
+
 // generalEvents are the events that may affect any request, whatever its upstream and
 // model.
 var generalEvents = map[string]bool{
@@ -230,13 +251,17 @@
 // Lines returns the lines that name the request, in order of time.
 func (t Timeline) Lines() []Line { return t.lines }
 
+// Stream returns the lines of the requests in which the stream that the request takes up
+// began or went on before, in order of time.
+func (t Timeline) Stream() []Line { return t.stream }
+
 // Related returns the lines that don't name the request but may explain it, in order of
 // time: see NewTimeline.
 func (t Timeline) Related() []Line { return t.related }
 
 // Print writes the timeline as text: first the lines that name the request, under the
-// title "what happened to it", then the related lines, under the title "what happened
-// around it".
+// title "what happened to it", then those of its stream, under the title "what happened to
+// its stream before", then the related lines, under the title "what happened around it".
 func (t Timeline) Print(out io.Writer) error {
 	if _, err := fmt.Fprintf(out, "request %s\n", t.id); err != nil {
 		return err
@@ -244,7 +269,9 @@
 	for _, part := range []struct {
 		title string
 		lines []Line
-	}{{"what happened to it", t.lines}, {"what happened around it", t.related}} {
+		// names means that the lines name their requests.
+		names bool
+	}{{"what happened to it", t.lines, false}, {"what happened to its stream before", t.stream, true}, {"what happened around it", t.related, false}} {
 		if len(part.lines) == 0 {
 			continue
 		}
@@ -252,7 +279,7 @@
 			return err
 		}
 		for _, line := range part.lines {
-			if _, err := fmt.Fprintf(out, "  %s  %-20s %s%s\n", line.time.UTC().Format("15:04:05.000"), line.source, line.event, pairsText(line.pairs)); err != nil {
+			if _, err := fmt.Fprintf(out, "  %s  %-20s %s%s\n", line.time.UTC().Format("15:04:05.000"), line.source, line.event, pairsText(line.pairs, part.names)); err != nil {
 				return err
 			}
 		}
@@ -260,11 +287,12 @@
 	return nil
 }
 
-// pairsText returns the pairs as text, without the ID of the request and empty values.
-func pairsText(pairs []Pair) string {
+// pairsText returns the pairs as text, without empty values and, unless names is set, the
+// ID of the request.
+func pairsText(pairs []Pair, names bool) string {
 	var text strings.Builder
 	for _, pair := range pairs {
-		if pair.Key == "request" || pair.Value == "" {
+		if pair.Key == "request" && !names || pair.Value == "" {
 			continue
 		}
 		text.WriteString(" " + pair.Key + "=" + pair.Value)
--- a/reqlog/reqlog_test.go
+++ b/reqlog/reqlog_test.go
@@ -46,6 +46,7 @@
 		Entry("answered late, since it waited for a load of its model", "late", "5d35b4ee3771d503"),
 		Entry("refused, since its only upstream names a rate limit", "limited", "5b1f0a77c2d94e63"),
 		Entry("refused, since its only upstream asked for a wait", "waits", "5b1f0a77c2d94e63"),
+		Entry("refused, since nobody knows the version that began its stream", "version", "5b1f0a77c2d94e63"),
 		Entry("refused for a part of its prompt, with the verdict on it", "part", "5b1f0a77c2d94e63"),
 	)
 
