--- a/coord/origins.go
+++ b/coord/origins.go
@@ -1,16 +1,18 @@
 package coord
 
 import (
+	"cmp"
 	"context"
-	"maps"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/notice"
 	"cardamomcourse.example/cardamom/origin"
-	"cardamomcourse.example/cardamom/route/rank"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
@@ -66,30 +68,33 @@
 	}
 }
 
-// holders returns the members that are told where a stream began, the first choice first.
+// holders returns the members that are told where a stream began, by rendezvous hashing, the
+// first choice first. Unlike rank.Order it does not sort all members.
 func holders(stream origin.Stream, members []Member, self cardamom.InstanceID, count int) []Member {
-	byID := make(map[cardamom.InstanceID]Member, len(members))
+	type choice struct {
+		member Member
+		weight uint64
+	}
+	chosen := make([]choice, 0, count+1)
+	key := binary.LittleEndian.AppendUint64(nil, uint64(stream))
 	for _, m := range members {
-		if m.ID != self {
-			byID[m.ID] = m
+		if m.ID == self {
+			continue
+		}
+		digest := xxhash.New()
+		_, _ = digest.Write(key)
+		_, _ = digest.WriteString(string(m.ID))
+		next := choice{m, digest.Sum64()}
+		at, _ := slices.BinarySearchFunc(chosen, next, func(a, b choice) int { return cmp.Compare(b.weight, a.weight) })
+		if at < count {
+			chosen = slices.Insert(chosen, at, next)[:min(len(chosen)+1, count)]
 		}
 	}
-	key := string(binaryKey(stream))
-	ranked := rank.Order(key, slices.Sorted(maps.Keys(byID)))
-	chosen := make([]Member, 0, count)
-	for _, id := range ranked[:min(len(ranked), count)] {
-		chosen = append(chosen, byID[id])
-	}
-	return chosen
-}
-
-// binaryKey returns a stream as the key of its rank.
-func binaryKey(stream origin.Stream) []byte {
-	key := make([]byte, 0, 8)
-	for shift := 0; shift < 64; shift += 8 {
-		key = append(key, byte(stream>>shift))
+	list := make([]Member, 0, len(chosen))
+	for _, c := range chosen {
+		list = append(list, c.member)
 	}
-	return key
+	return list
 }
 
 // tellOrigins tells each record to its holders.
