Soak releases: engines of several software versions

The fault release replaces an engine by one of a version that may be new. Engines then pause between events, so that kills meet streams midway, and callers come back at any instance for the rest, twice at most. Checked: no stream holds events of two versions; of 12 or more that were taken up at instances that weren't disturbed for 3 s, while two engines of their version served, the share that went on is at least half of that of new streams that began.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -54,7 +54,10 @@
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
 	// Crashes is how many engines each part of prompts crashed.
-	Crashes    []int    `json:"crashes,omitempty"`
+	Crashes []int `json:"crashes,omitempty"`
+	// Returns is how often callers took a stream up at an undisturbed instance while two
+	// engines with its version served.
+	Returns    int      `json:"returns,omitempty"`
 	Violations []string `json:"violations"`
 	NotStarted []string `json:"not_started"`
 }
@@ -165,6 +168,8 @@
 	partCtx     context.Context
 	// prompts means that sound requests list the parts of their prompts.
 	prompts bool
+	// software is the version of new engines' software, 0 if engines have no versions.
+	software int
 }
 
 // sentRequest is a request and its response as the caller saw them.
@@ -179,6 +184,8 @@
 	answered bool
 	// part is the part of the prompt that crashes engines, empty for a sound request.
 	part string
+	// takenUp is set if the caller came back for the rest of a stream.
+	takenUp *takenUp
 }
 
 // soakRun describes one soak.
@@ -215,6 +222,9 @@
 		random: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, sent: make(map[string]*sentRequest), version: 1,
 		affected: make(map[*host.Instance]bool), disturbed: make(map[string][]*interval), faults: run.faults, unfenced: run.unfenced,
 	}
+	if slices.ContainsFunc(run.faults, func(fault soakFault) bool { return fault.name == "release" }) {
+		s.software = 1
+	}
 	if err := s.start(ctx, run.program, logs, run.instances); err != nil {
 		wire.NotStarted = append(wire.NotStarted, fmt.Sprintf("seed %d: %v", seed, err))
 		return
@@ -262,6 +272,12 @@
 			s.upstreamSpec("models", "m1", "m2"), s.upstreamSpec("models", "m3", "m4"), s.upstreamSpec("models", "m5", "m6"), s.upstreamSpec("plain"), s.upstreamSpec("plain"), s.upstreamSpec("plain"),
 		},
 	}
+	if s.software > 0 {
+		// Each version keeps some engines beside those of others.
+		for n := range 5 {
+			options.Upstreams = append(options.Upstreams, s.upstreamSpec("models", soakModels[n], soakModels[n+3]))
+		}
+	}
 	site, err := host.NewSite(options)
 	if err != nil {
 		return err
@@ -287,9 +303,13 @@
 
 func (s *soak) upstreamSpec(service string, models ...string) host.UpstreamSpec {
 	s.upstreamCount++
+	version, pause := "", time.Duration(0)
+	if s.software > 0 && service == "models" {
+		version, pause = fmt.Sprintf("v%d", s.software), soakEventPause
+	}
 	return host.UpstreamSpec{
 		ID: fmt.Sprintf("%s-%d", service, s.upstreamCount), Service: service, DataCentre: "x", Models: models, Disk: soakModels, Slots: 16,
-		LoadTime: 120 * time.Millisecond, MaxModels: soakEngineCapacity, WithLink: true, Unfenced: s.unfenced,
+		LoadTime: 120 * time.Millisecond, MaxModels: soakEngineCapacity, WithLink: true, Unfenced: s.unfenced, Version: version, EventPause: pause,
 	}
 }
 
@@ -297,6 +317,9 @@
 // uses the same address.
 func (s *soak) runCaller(ctx context.Context, caller int, random *rand.Rand) {
 	kinds := []string{"/safe/", "/once/", "/stream/", "/resume/"}
+	if s.software > 0 {
+		kinds = append(kinds, "/resume/", "/resume/", "/resume/", "/resume/")
+	}
 	session := s.site.NewSession()
 	defer session.Close()
 	address, until := "", time.Time{}
@@ -328,5 +351,8 @@
 		if err != nil {
 			address = ""
 		}
+		if s.software > 0 && isCutStream(kind, response, err) {
+			s.takeUp(ctx, request, response, random)
+		}
 	}
 }
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -52,6 +52,7 @@
 	s.checkBudget()
 	s.checkParts()
 	s.checkNotices()
+	s.checkVersions()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
@@ -173,14 +174,18 @@
 	if e.kind == "/stream/" || e.kind == "/resume/" {
 		expected = wholeStream
 	}
+	body := versionMark.ReplaceAllString(e.response.Body, "")
+	if e.takenUp != nil {
+		expected = strings.TrimPrefix(expected, versionMark.ReplaceAllString(e.takenUp.has, ""))
+	}
 	switch {
 	case e.response.ID != id:
 		s.addViolation(fmt.Sprintf("%s got the answer to %q", id, e.response.ID))
 	case !e.response.Sealed:
 		s.addViolation(id + " got a success that no upstream signed")
-	case e.response.Complete && e.response.Body != expected:
+	case e.response.Complete && body != expected:
 		s.addViolation(fmt.Sprintf("%s got %q", id, e.response.Body))
-	case !e.response.Complete && !strings.HasPrefix(expected, e.response.Body):
+	case !e.response.Complete && !strings.HasPrefix(expected, body):
 		s.addViolation(fmt.Sprintf("%s got %q before its response broke off", id, e.response.Body))
 	}
 }
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -31,6 +31,7 @@
 	{"crashing_part", crashOnPart},
 	{"says_leaving", sayLeaving},
 	{"asks_to_wait", askToWait},
+	{"release", releaseEngine},
 }
 
 // soakFaults are the faults of a soak unless names are given.
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -215,6 +215,13 @@
 		after = 0
 	}
 	for n := after + 1; n <= streamEvents; n++ {
+		if u.spec.EventPause > 0 && n > after+1 {
+			select {
+			case <-u.closed:
+				panic(http.ErrAbortHandler)
+			case <-time.After(u.spec.EventPause):
+			}
+		}
 		if behaviour == Cut && n == after+3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: par", n)
 			w.(http.Flusher).Flush()
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -121,6 +121,8 @@
 	// Version is the version of its software: its registration has it and its events end
 	// with it. Empty registers version v1 and leaves the events as they are.
 	Version string
+	// EventPause is the pause between two events of a stream.
+	EventPause time.Duration
 	// WithLink puts a Link, a fault-injecting TCP proxy, in front of the upstream.
 	WithLink bool
 }
@@ -216,6 +218,9 @@
 	return strings.TrimPrefix(u.server.URL, "http://")
 }
 
+// Version returns the version of the upstream's software, empty if it has none.
+func (u *Upstream) Version() string { return u.spec.Version }
+
 // ID returns the upstream's ID.
 func (u *Upstream) ID() string { return u.spec.ID }
 
