--- a/conns/conns.go
+++ b/conns/conns.go
@@ -91,11 +91,15 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	onOpen func()
+	source net.IP
 }
 
 // New returns an empty pool. onOpen, unless nil, is called for each new connection.
-func New(onOpen func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), onOpen: onOpen}
+func New(onOpen func()) *Pool { return NewFrom(nil, onOpen) }
+
+// NewFrom returns an empty pool that connects from an address, any if it is nil.
+func NewFrom(source net.IP, onOpen func()) *Pool {
+	return &Pool{idle: make(map[string][]*conn), onOpen: onOpen, source: source}
 }
 
 // conn is one connection to an upstream.
@@ -204,6 +208,9 @@
 		_ = c.Close()
 	}
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
+	if p.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.source}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
--- a/fakes/host/link.go
+++ b/fakes/host/link.go
@@ -26,6 +26,8 @@
 	Silent
 	// OneWay forwards requests and holds responses back.
 	OneWay
+	// Refusing forwards bytes on open connections and resets new ones.
+	Refusing
 )
 
 const (
@@ -44,6 +46,8 @@
 	target   string
 	listener net.Listener
 	fault    LinkFault
+	// cut are the faults for connections from an address, in place of fault.
+	cut map[string]LinkFault
 	// resumed are the times at which the link went on after it was silent.
 	resumed   []time.Time
 	open      map[net.Conn]bool
@@ -57,7 +61,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for link")
 	}
-	l := &Link{target: target, listener: listener, open: make(map[net.Conn]bool), closed: make(chan struct{})}
+	l := &Link{target: target, listener: listener, cut: make(map[string]LinkFault), open: make(map[net.Conn]bool), closed: make(chan struct{})}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -100,6 +104,37 @@
 	}
 }
 
+// Cut replaces the fault for connections from an address, which a process binds its
+// connections to. NoLinkFault ends it.
+func (l *Link) Cut(source string, fault LinkFault) {
+	l.mu.Lock()
+	delete(l.cut, source)
+	if fault != NoLinkFault {
+		l.cut[source] = fault
+	}
+	var broken []net.Conn
+	if fault == Resetting {
+		for c := range l.open {
+			if sourceOf(c) == source {
+				broken = append(broken, c)
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range broken {
+		reset(c)
+	}
+}
+
+// sourceOf returns the address from which a connection was made.
+func sourceOf(c net.Conn) string {
+	source, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return source
+}
+
 // Close stops the link and closes its connections.
 func (l *Link) Close() {
 	l.closeOnce.Do(func() { close(l.closed) })
@@ -111,14 +146,19 @@
 	}
 }
 
-func (l *Link) current() LinkFault {
+// current returns the fault for connections from an address.
+func (l *Link) current(source string) LinkFault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if fault, ok := l.cut[source]; ok {
+		return fault
+	}
 	return l.fault
 }
 
 func (l *Link) serve(c net.Conn) {
-	if l.current() == Resetting {
+	source := sourceOf(c)
+	if fault := l.current(source); fault == Resetting || fault == Refusing {
 		reset(c)
 		return
 	}
@@ -131,8 +171,8 @@
 	l.open[c], l.open[upstream] = true, true
 	l.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go func() { l.copy(upstream, c, false); done <- struct{}{} }()
-	go func() { l.copy(c, upstream, true); done <- struct{}{} }()
+	go func() { l.copy(upstream, c, source, false); done <- struct{}{} }()
+	go func() { l.copy(c, upstream, source, true); done <- struct{}{} }()
 	<-done
 	<-done
 	l.mu.Lock()
@@ -145,11 +185,11 @@
 
 // copy forwards bytes until from is half-closed or reset, and then half-closes or
 // resets to as well.
-func (l *Link) copy(to, from net.Conn, response bool) {
+func (l *Link) copy(to, from net.Conn, source string, response bool) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if !l.wait(response) {
+		if !l.wait(source, response) {
 			return
 		}
 		if n > 0 {
@@ -174,9 +214,9 @@
 
 // wait delays or blocks as the current fault requires. It reports whether the link
 // is still open.
-func (l *Link) wait(response bool) bool {
+func (l *Link) wait(source string, response bool) bool {
 	for {
-		switch l.current() {
+		switch l.current(source) {
 		case Delayed:
 			time.Sleep(linkDelay)
 			return true
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -38,6 +38,8 @@
 	logPath      string
 	// EntryAddress is the host:port at which the instance serves callers.
 	EntryAddress string
+	// Source is the address from which it connects to upstreams.
+	Source string
 	// ReadyAddress is the host:port of its readiness check.
 	ReadyAddress   string
 	lookupAddress  string
@@ -97,7 +99,7 @@
 		s.StoreLink, address = link, link.Address()
 	}
 	for n := range options.Instances {
-		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), options.Program, address, !options.Unfenced)
+		instance, err := s.newInstance(fmt.Sprintf("front-%d", n+1), fmt.Sprintf("127.0.1.%d", n+1), options.Program, address, !options.Unfenced)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -113,7 +115,7 @@
 
 // newInstance writes the settings file of an instance and returns the instance
 // without starting it.
-func (s *Site) newInstance(name, program, store string, fenced bool) (*Instance, error) {
+func (s *Site) newInstance(name, source, program, store string, fenced bool) (*Instance, error) {
 	addresses := make([]string, 5)
 	for i := range addresses {
 		address, err := ports.Free()
@@ -123,7 +125,7 @@
 		addresses[i] = address
 	}
 	body, err := json.Marshal(map[string]any{
-		"instance": name, "data_centre": "x", "store": store, "lease_ms": leaseMS, "fences_checked": fenced, "grace_ms": graceMS,
+		"instance": name, "data_centre": "x", "source": source, "store": store, "lease_ms": leaseMS, "fences_checked": fenced, "grace_ms": graceMS,
 		"listen":  map[string]any{"entry": addresses[0], "ready": addresses[1], "addresses": addresses[2], "sync": addresses[3], "metrics": addresses[4]},
 		"retries": map[string]any{"ratio": 0.2, "window_ms": 10000, "slack": 50},
 	})
@@ -135,7 +137,7 @@
 		return nil, eris.Wrap(err, "write settings")
 	}
 	return &Instance{
-		name: name, program: program, settingsPath: path, logPath: filepath.Join(s.folder, name+".log"),
+		name: name, Source: source, program: program, settingsPath: path, logPath: filepath.Join(s.folder, name+".log"),
 		EntryAddress: addresses[0], ReadyAddress: addresses[1], lookupAddress: addresses[2], metricsAddress: addresses[4],
 	}, nil
 }
@@ -317,6 +319,16 @@
 	return got, nil
 }
 
+// CutOff sets a fault between an instance and all upstreams that have a Link. NoLinkFault
+// ends it.
+func (s *Site) CutOff(instance *Instance, fault LinkFault) {
+	for _, upstream := range s.Upstreams {
+		if upstream.link != nil {
+			upstream.link.Cut(instance.Source, fault)
+		}
+	}
+}
+
 // Runs returns how often each request ran, by request ID and summed over the
 // upstreams.
 func (s *Site) Runs() map[string]int {
--- a/front/provide.go
+++ b/front/provide.go
@@ -39,7 +39,7 @@
 	return coord.Options{
 		ID: settings.instance, EntryAddress: settings.listen.Entry, SyncAddress: settings.listen.Sync, Seeds: settings.seeds,
 		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), Clock: store.Clock, Table: platform.NewTable(store, systemTable),
-		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: platform.NewEngineClient(),
+		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: platform.NewEngineClient(settings.source),
 		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Origins: origins, Logger: logger.Named("coord"),
 	}
 }
@@ -52,8 +52,8 @@
 
 func provideWaiters(loop *coord.Loop) *await.Waiters { return await.New(loop) }
 
-func providePool(metrics *metric.Tally) *conns.Pool {
-	return conns.New(func() { metrics.Add("upstream_connections_total", 1) })
+func providePool(settings *Settings, metrics *metric.Tally) *conns.Pool {
+	return conns.NewFrom(settings.source, func() { metrics.Add("upstream_connections_total", 1) })
 }
 
 func provideBudget(settings *Settings) *retry.Budget {
--- a/front/settings.go
+++ b/front/settings.go
@@ -51,6 +51,8 @@
 	// no coordinator.
 	seeds  []string
 	listen Listen
+	// source is the address from which connections to upstreams are made, nil for any.
+	source net.IP
 	// memoryBytes is the memory limit of the process.
 	memoryBytes int64
 	// processorCores is how many cores the process may use, 0 if unknown.
@@ -124,6 +126,7 @@
 	DataCentre string   `json:"data_centre"`
 	Store      string   `json:"store"`
 	Seeds      []string `json:"seeds"`
+	Source     string   `json:"source"`
 	MemoryMB   float64  `json:"memory_mb"`
 	Processor  float64  `json:"processor_cores"`
 	LinkMbps   float64  `json:"link_mbps"`
@@ -245,13 +248,16 @@
 	if _, _, err := net.SplitHostPort(wire.Store); err != nil {
 		source.Faultf([]string{"store"}, "must be host:port, got %q", wire.Store)
 	}
+	if wire.Source != "" && net.ParseIP(wire.Source) == nil {
+		source.Faultf([]string{"source"}, "must be an IP address, got %q", wire.Source)
+	}
 	profiles := decodeProfiles(wire, source)
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
 	return &Settings{
 		profiles: profiles, soundParts: decodeSoundParts(wire.SoundParts),
-		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.DataCentre(wire.DataCentre), store: wire.Store, seeds: wire.Seeds,
+		instance: cardamom.InstanceID(wire.Instance), dataCentre: cardamom.DataCentre(wire.DataCentre), store: wire.Store, seeds: wire.Seeds, source: net.ParseIP(wire.Source),
 		listen:      Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
 		memoryBytes: int64(wire.MemoryMB * (1 << 20)), processorCores: wire.Processor, linkMbps: wire.LinkMbps, logLevel: wire.LogLevel,
 		lease: milliseconds(wire.LeaseMS), fencingChecked: wire.FencesChecked, grace: milliseconds(wire.GraceMS), addressTTL: milliseconds(wire.AddressTTLMS),
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -37,7 +37,7 @@
 	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, originBook, logger)
 	loop := coord.New(options)
 	tally := metric.New()
-	pool := providePool(tally)
+	pool := providePool(settings, tally)
 	waiters := provideWaiters(loop)
 	tracker := health.New()
 	paceTracker := pace.New()
