--- a/conns/conns.go
+++ b/conns/conns.go
@@ -207,11 +207,7 @@
 		}
 		_ = c.Close()
 	}
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
-	if p.source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: p.source}
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
@@ -222,6 +218,15 @@
 	return &conn{Conn: raw, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// dialer returns the dialer of new connections.
+func (p *Pool) dialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
+	if p.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.source}
+	}
+	return dialer
+}
+
 // pop takes the most recently used idle connection, nil if there is none.
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
--- a/conns/socket.go
+++ b/conns/socket.go
@@ -60,9 +60,8 @@
 )
 
 // Probe opens a TCP connection to the address to find out whether a process listens.
-func Probe(ctx context.Context, address string) State {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) Probe(ctx context.Context, address string) State {
+	c, err := p.dialer().DialContext(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		_ = c.Close()
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -41,13 +41,13 @@
 func encodeMembers(members []Member) []*syncpb.Member {
 	list := make([]*syncpb.Member, 0, len(members))
 	for _, m := range members {
-		list = append(list, &syncpb.Member{Instance: string(m.ID), EntryAddress: m.EntryAddress, SyncAddress: m.SyncAddress, Leaving: m.Leaving, Weak: m.Weak})
+		list = append(list, &syncpb.Member{Instance: string(m.ID), EntryAddress: m.EntryAddress, SyncAddress: m.SyncAddress, Leaving: m.Leaving, Weak: m.Weak, Partitioned: m.Partitioned})
 	}
 	return list
 }
 
 func decodeMember(wire *syncpb.Member) Member {
-	return Member{ID: cardamom.InstanceID(wire.GetInstance()), EntryAddress: wire.GetEntryAddress(), SyncAddress: wire.GetSyncAddress(), Leaving: wire.GetLeaving(), Weak: wire.GetWeak()}
+	return Member{ID: cardamom.InstanceID(wire.GetInstance()), EntryAddress: wire.GetEntryAddress(), SyncAddress: wire.GetSyncAddress(), Leaving: wire.GetLeaving(), Weak: wire.GetWeak(), Partitioned: wire.GetPartitioned()}
 }
 
 // decodeReport returns the counts of requests that a member reports.
--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -19,6 +19,7 @@
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/syncpb"
 	"cardamomcourse.example/cardamom/table"
@@ -52,7 +53,7 @@
 func newLoop(id cardamom.InstanceID, result site.OrderResult) *Loop {
 	l := New(Options{
 		ID: id, EntryAddress: string(id) + ":1", SyncAddress: string(id) + ":2", LeaseDuration: 3 * time.Second, Engines: engines{result},
-		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Origins: origin.NewBook(), Logger: hclog.NewNullLogger(),
+		Clock: func(time.Time) (int64, uint64, bool) { return 0, 0, false }, Demand: demand.New(), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Origins: origin.NewBook(), Reach: reach.New(), Logger: hclog.NewNullLogger(),
 	})
 	l.ctx, l.noCoordinatorSince = context.Background(), clock.Now()
 	return l
@@ -126,6 +127,7 @@
 		models, _ := loadedModels(known, "x")
 		Expect(models).To(Equal([]string{"m"}))
 		l.term.suspectEngines(p, awaitFrom("i-2"), start)
+		l.options.Reach.Answered("y", start.Add(time.Hour))
 		for n := range 2 {
 			now := start.Add(time.Duration(n) * 200 * time.Millisecond)
 			Expect(dueReports(p, now)).To(Equal([]cardamom.UpstreamID{"x"}))
@@ -139,6 +141,24 @@
 		Expect(p.Ready("m", "", start.Add(time.Second))).To(BeEmpty())
 	})
 
+	It("keeps its models while no other engine answers the coordinator either", func() {
+		l := newLoop("i-1", site.OrderAccepted)
+		p := l.becomeCoordinator()
+		l.exchangeFrom("i-1", 0, start)
+		known := l.exchangeFrom("i-2", 0, start)
+		l.term.suspectEngines(p, awaitFrom("i-2"), start)
+		for n := range 5 {
+			now := start.Add(time.Duration(n) * 200 * time.Millisecond)
+			l.requestReport("s", cardamom.Upstream{ID: "x"})
+			// The second event is the report of another engine that it asks for.
+			(<-l.events)(now)
+			(<-l.events)(now)
+			l.term.publishPlan(p)
+			_, listed := loadedModels(l.exchangeFrom("i-2", known.GetChange(), now), "x")
+			Expect(listed).To(BeFalse())
+		}
+	})
+
 	It("is not suspected if only the coordinator could not reach it and there are other members", func() {
 		l := newLoop("i-1", site.OrderAccepted)
 		p := l.becomeCoordinator()
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -176,7 +176,7 @@
 
 // wireMember returns this instance as a member.
 func (l *Loop) wireMember() *syncpb.Member {
-	return encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving, Weak: l.weak()}})[0]
+	return encodeMembers([]Member{{ID: l.options.ID, EntryAddress: l.options.EntryAddress, SyncAddress: l.options.SyncAddress, Leaving: l.leaving, Weak: l.weak(), Partitioned: l.options.Reach.Partitioned()}})[0]
 }
 
 // handleExchangeReply handles the result of an exchange.
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -134,6 +134,10 @@
 	if l.leaseCallInFlight || l.leaving {
 		return
 	}
+	if l.term != nil && l.shouldYield() {
+		l.yieldLease(now)
+		return
+	}
 	switch l.lease.Next(now) {
 	case lease.Take:
 		switch {
@@ -175,7 +179,7 @@
 	if l.lease.MayRegain(now) {
 		return true
 	}
-	if l.hasCoordinator(now) {
+	if l.hasCoordinator(now) || l.shouldYield() {
 		return false
 	}
 	delay := l.options.TakeoverDelay
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -15,6 +15,7 @@
 	"cardamomcourse.example/cardamom/plan"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/site"
 	"cardamomcourse.example/cardamom/table"
 )
@@ -77,6 +78,7 @@
 	Limits    *quota.Book
 	Notices   *notice.Book
 	Origins   *origin.Book
+	Reach     *reach.Tracker
 	Logger    hclog.Logger
 }
 
--- a/coord/orders.go
+++ b/coord/orders.go
@@ -62,18 +62,21 @@
 	go func() {
 		report, err := l.options.Engines.Report(l.ctx, upstream)
 		if err != nil {
+			l.options.Reach.Failed(upstream.ID, clock.Now())
 			l.logger.Debug("report_missing", "upstream", upstream.ID, "reason", err)
-			l.post(func(time.Time) {
+			l.post(func(now time.Time) {
 				if t := l.term; t != nil && t.number == number {
-					if p, ok := t.plans[service]; ok && p.ReportMissed(upstream.ID) {
+					if p, ok := t.plans[service]; ok && t.countsMiss(p, service, upstream.ID, now) && p.ReportMissed(upstream.ID) {
 						l.logger.Warn("upstream_down", "upstream", upstream.ID, "address", upstream.Address, "fence", number, "reason", err)
 					}
 				}
 			})
 			return
 		}
+		l.options.Reach.Answered(upstream.ID, clock.Now())
 		l.post(func(now time.Time) {
 			if t := l.term; t != nil && t.number == number {
+				delete(t.firstMisses, upstream.ID)
 				if p, ok := t.plans[service]; ok {
 					t.recordRestart(upstream.ID, report, now)
 					p.Report(upstream.ID, report, now)
--- /dev/null
+++ b/coord/partition.go
@@ -0,0 +1,65 @@
+package coord
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/table"
+)
+
+// PartitionChanged makes the next exchange start early: other instances pass on what this one
+// can't send, or need not any more.
+func (l *Loop) PartitionChanged() {
+	l.post(func(time.Time) { l.reportSoon = true })
+}
+
+// shouldYield reports whether another instance is to coordinate: this one reaches no engine,
+// so its orders don't arrive, and another one does.
+func (l *Loop) shouldYield() bool {
+	return l.options.Reach.Partitioned() && slices.ContainsFunc(l.state.members, func(m Member) bool {
+		return m.ID != l.options.ID && !m.Leaving && !m.Partitioned
+	})
+}
+
+// yieldLease releases the lease for an instance that reaches engines.
+func (l *Loop) yieldLease(now time.Time) {
+	expect := l.lease.Version()
+	l.endTerm("partitioned")
+	l.lease.Invalidate()
+	l.noCoordinatorSince = now
+	value := l.encodeLease(l.releasedRow(now))
+	l.leaseCallInFlight, l.lastLeaseCall = true, now
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, exchangeTimeout)
+		defer cancel()
+		_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
+		l.post(func(time.Time) {
+			l.leaseCallInFlight = false
+			if err != nil {
+				l.logger.Warn("lease_not_released", "reason", err)
+			}
+		})
+	}()
+}
+
+// countsMiss reports whether a report that an engine missed counts against the engine: only
+// if another upstream has answered since the first one that it missed, as otherwise this
+// instance may be the one that reaches nothing. It asks another engine to find out.
+func (t *term) countsMiss(p *servicePlan, service cardamom.ServiceID, id cardamom.UpstreamID, now time.Time) bool {
+	first, ok := t.firstMisses[id]
+	if !ok {
+		t.firstMisses[id] = now
+		first = now
+	}
+	others := slices.DeleteFunc(p.Live(), func(u cardamom.Upstream) bool { return u.ID == id })
+	if len(others) == 0 {
+		return !t.loop.options.Reach.Partitioned()
+	}
+	if t.loop.options.Reach.HeardSince(first) {
+		return true
+	}
+	t.loop.requestReport(service, others[int(now.UnixNano()/int64(time.Millisecond))%len(others)])
+	return false
+}
--- a/coord/term.go
+++ b/coord/term.go
@@ -55,7 +55,10 @@
 	// permits has the calls for permits, for upstreams with a rate limit.
 	permits *quota.Queue
 	// waits are those that upstreams asked any member for.
-	waits        *notice.Book
+	waits *notice.Book
+	// firstMisses are the times of the first of the reports that suspected engines missed in
+	// a row.
+	firstMisses  map[cardamom.UpstreamID]time.Time
 	ordersPaused bool
 	// lastStep is when the plans last decided on orders.
 	lastStep time.Time
@@ -117,7 +120,7 @@
 		plans: make(map[cardamom.ServiceID]*servicePlan), plain: make(map[cardamom.UpstreamID]*site.Upstream),
 		published: make(map[cardamom.UpstreamID]*published), members: make(map[cardamom.InstanceID]*member),
 		sums: demand.NewSums(), awaitCalls: make(map[*awaitCall]bool),
-		permits: quota.NewQueue(l.options.Limits), waits: notice.NewBook(),
+		permits: quota.NewQueue(l.options.Limits), waits: notice.NewBook(), firstMisses: make(map[cardamom.UpstreamID]time.Time),
 	}
 	l.term = t
 	l.logger.Info("lease_taken", "fence", t.number, "fresh", fresh)
--- a/coord/view.go
+++ b/coord/view.go
@@ -46,6 +46,8 @@
 	// Weak means that its processor or link is too weak for a coordinator, so that
 	// others take the lease first.
 	Weak bool
+	// Partitioned means that it reaches no upstream.
+	Partitioned bool
 }
 
 // View is what an instance knows at one moment. It is immutable.
--- a/fakes/host/link.go
+++ b/fakes/host/link.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -26,8 +27,9 @@
 	Silent
 	// OneWay forwards requests and holds responses back.
 	OneWay
-	// Refusing forwards bytes on open connections and resets new ones.
-	Refusing
+	// Hanging forwards bytes on open connections, and new ones from the address that is cut
+	// off are never accepted.
+	Hanging
 )
 
 const (
@@ -57,7 +59,10 @@
 
 // NewLink returns a link that listens on loopback and forwards to the target.
 func NewLink(target string) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Multipath TCP has no filters.
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for link")
 	}
@@ -105,13 +110,20 @@
 }
 
 // Cut replaces the fault for connections from an address, which a process binds its
-// connections to. NoLinkFault ends it.
-func (l *Link) Cut(source string, fault LinkFault) {
+// connections to. NoLinkFault ends it. New connections hang while it is Silent or Hanging.
+func (l *Link) Cut(source string, fault LinkFault) error {
 	l.mu.Lock()
 	delete(l.cut, source)
 	if fault != NoLinkFault {
 		l.cut[source] = fault
 	}
+	var hanging []string
+	for address, cut := range l.cut {
+		if cut == Silent || cut == Hanging {
+			hanging = append(hanging, address)
+		}
+	}
+	filtered := dropNew(l.listener, hanging)
 	var broken []net.Conn
 	if fault == Resetting {
 		for c := range l.open {
@@ -124,6 +136,7 @@
 	for _, c := range broken {
 		reset(c)
 	}
+	return filtered
 }
 
 // sourceOf returns the address from which a connection was made.
@@ -158,7 +171,7 @@
 
 func (l *Link) serve(c net.Conn) {
 	source := sourceOf(c)
-	if fault := l.current(source); fault == Resetting || fault == Refusing {
+	if l.current(source) == Resetting {
 		reset(c)
 		return
 	}
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -321,12 +321,15 @@
 
 // CutOff sets a fault between an instance and all upstreams that have a Link. NoLinkFault
 // ends it.
-func (s *Site) CutOff(instance *Instance, fault LinkFault) {
+func (s *Site) CutOff(instance *Instance, fault LinkFault) error {
 	for _, upstream := range s.Upstreams {
 		if upstream.link != nil {
-			upstream.link.Cut(instance.Source, fault)
+			if err := upstream.link.Cut(instance.Source, fault); err != nil {
+				return err
+			}
 		}
 	}
+	return nil
 }
 
 // Runs returns how often each request ran, by request ID and summed over the
--- a/front/front.go
+++ b/front/front.go
@@ -36,6 +36,7 @@
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/sleep"
 	"cardamomcourse.example/cardamom/syncpb"
@@ -62,6 +63,9 @@
 	// exitMargin is the time at the end of the grace time that is reserved for the
 	// process to exit.
 	exitMargin = 400 * time.Millisecond
+	// hoppedRecheck is the interval at which a leaving instance looks whether the requests of
+	// other instances have ended.
+	hoppedRecheck = 20 * time.Millisecond
 	// leaveTimeout bounds the release of the coordinator's lease.
 	leaveTimeout = time.Second
 	// sweepInterval is the time between two sweeps, which close idle connections to
@@ -81,6 +85,9 @@
 	limits      *quota.Book
 	notices     *notice.Book
 	origins     *origin.Book
+	reach       *reach.Tracker
+	scout       *reach.Scout
+	relay       *relay.Server
 	parts       *poison.Parts
 	shutdown    *shutdownState
 	logger      hclog.Logger
@@ -122,8 +129,8 @@
 }
 
 // New returns an instance; Run starts it.
-func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
-	i := &Instance{settings: settings, loop: loop, pool: pool, parts: parts, limits: limits, notices: notices, origins: origins, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
+func New(settings *Settings, loop *coord.Loop, pool *conns.Pool, entryHandler *relay.Server, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, tracker *reach.Tracker, scout *reach.Scout, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *Instance {
+	i := &Instance{settings: settings, loop: loop, pool: pool, parts: parts, limits: limits, notices: notices, origins: origins, reach: tracker, scout: scout, relay: entryHandler, metrics: metrics, shutdown: shutdown, logger: logger, idleConns: newIdleConns()}
 	i.entryServer = &http.Server{Handler: entryHandler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: i.idleConns.track}
 	return i
 }
@@ -149,6 +156,12 @@
 	i.metrics.Gauge("members", func() float64 { return float64(len(i.loop.View().Members())) })
 	i.metrics.Gauge("upstreams_limited", func() float64 { return float64(i.limits.InForce()) })
 	i.metrics.Gauge("streams_known", func() float64 { return float64(i.origins.Len()) })
+	i.metrics.Gauge("partitioned", func() float64 {
+		if i.reach.Partitioned() {
+			return 1
+		}
+		return 0
+	})
 	i.metrics.Gauge("upstreams_said_leaving", func() float64 { return float64(len(i.notices.Leaving())) })
 	i.metrics.Gauge("upstreams_waiting", func() float64 { return float64(i.notices.Waiting(clock.Now())) })
 	i.metrics.Gauge("parts_suspected", func() float64 { suspected, _ := i.parts.Counts(); return float64(suspected) })
@@ -171,6 +184,7 @@
 	defer stop()
 	tree := suture.New("instance", suture.Spec{FailureDecay: failureDecaySeconds, EventHook: i.logSupervisorEvent})
 	tree.Add(loopService{i.loop})
+	tree.Add(i.scout)
 	for _, s := range i.servers {
 		tree.Add(s)
 	}
@@ -178,6 +192,7 @@
 	go func() {
 		for sleep.For(runCtx, sweepInterval) {
 			i.pool.Sweep(time.Now())
+			i.relay.Peers.Sweep(time.Now())
 			if catalog := i.loop.View().Catalog(); catalog != nil {
 				i.idleConns.sweep(catalog.Limits().IdleTimeout, time.Now())
 			}
@@ -226,7 +241,7 @@
 		{"entry", addresses.Entry, i.entryServer},
 		{"ready", addresses.Ready, i.pathServer(platform.ReadyPath, i.serveReady)},
 		{"addresses", addresses.Addresses, i.pathServer(platform.AddressPath, i.serveAddresses)},
-		{"sync", addresses.Sync, &http.Server{Handler: syncMux, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{"sync", addresses.Sync, &http.Server{Handler: i.withHops(syncMux), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 		{"metrics", addresses.Metrics, i.pathServer("/metrics", i.serveMetrics)},
 	}
 	for _, endpoint := range endpoints {
@@ -242,6 +257,20 @@
 	return nil
 }
 
+// withHops returns a handler of other instances' calls that also handles the requests that
+// they can't send to upstreams themselves.
+func (i *Instance) withHops(calls http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !relay.IsHopped(r) {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		// The timeout for reading calls would end a long stream.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		i.relay.ServeHopped(w, r)
+	})
+}
+
 // pathServer returns a server with one handler.
 func (i *Instance) pathServer(path string, handler http.HandlerFunc) *http.Server {
 	mux := http.NewServeMux()
@@ -311,4 +340,6 @@
 	if err := i.entryServer.Shutdown(drainCtx); err != nil {
 		i.logger.Warn("requests_cut", "reason", err)
 	}
+	for i.relay.Hopped() > 0 && sleep.For(drainCtx, hoppedRecheck) {
+	}
 }
--- a/front/provide.go
+++ b/front/provide.go
@@ -18,6 +18,7 @@
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/retry"
 )
@@ -27,20 +28,20 @@
 
 // Set is the Wire provider set of an instance.
 var Set = wire.NewSet(
-	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget, provideParts,
-	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, notice.NewBook, origin.NewBook, metric.New, newShutdownState, New,
+	provideStore, provideOptions, provideWaiters, providePool, provideRelay, provideBudget, provideParts, provideEngines, newScout,
+	coord.New, demand.New, health.New, pace.New, poison.New, quota.NewBook, notice.NewBook, origin.NewBook, reach.New, metric.New, newShutdownState, New,
 )
 
 func provideStore(settings *Settings, logger hclog.Logger) *platform.Store {
 	return platform.NewStore(settings.store, logger.Named("store"))
 }
 
-func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, logger hclog.Logger) coord.Options {
+func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, tracker *reach.Tracker, engines *platform.EngineClient, logger hclog.Logger) coord.Options {
 	return coord.Options{
 		ID: settings.instance, EntryAddress: settings.listen.Entry, SyncAddress: settings.listen.Sync, Seeds: settings.seeds,
 		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), Clock: store.Clock, Table: platform.NewTable(store, systemTable),
-		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: platform.NewEngineClient(settings.source),
-		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Origins: origins, Logger: logger.Named("coord"),
+		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: engines,
+		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Origins: origins, Reach: tracker, Logger: logger.Named("coord"),
 	}
 }
 
@@ -50,6 +51,10 @@
 	return parts
 }
 
+func provideEngines(settings *Settings) *platform.EngineClient {
+	return platform.NewEngineClient(settings.source)
+}
+
 func provideWaiters(loop *coord.Loop) *await.Waiters { return await.New(loop) }
 
 func providePool(settings *Settings, metrics *metric.Tally) *conns.Pool {
@@ -60,9 +65,9 @@
 	return retry.New(settings.retries, rand.Float64())
 }
 
-func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
+func provideRelay(settings *Settings, loop *coord.Loop, waiters *await.Waiters, pool *conns.Pool, counter *demand.Counter, healthTracker *health.Tracker, paceTracker *pace.Tracker, budget *retry.Budget, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, tracker *reach.Tracker, metrics *metric.Tally, shutdown *shutdownState, logger hclog.Logger) *relay.Server {
 	return relay.New(relay.Options{
-		DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Waiters: waiters, Pool: pool, Demand: counter,
-		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Permits: loop, Alone: quota.NewShare(rand.Float64), Origins: loop, Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
+		Instance: settings.instance, DataCentre: settings.dataCentre, Dialect: platform.Dialect{}, Views: loop, Waiters: waiters, Pool: pool, Demand: counter,
+		Health: healthTracker, Pace: paceTracker, Budget: budget, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Permits: loop, Alone: quota.NewShare(rand.Float64), Origins: loop, Reach: tracker, Peers: conns.New(nil), Metrics: metrics, Leaving: shutdown.leaving.Load, Closing: shutdown.accepting, Logger: logger.Named("relay"),
 	})
 }
--- a/front/wire_gen.go
+++ b/front/wire_gen.go
@@ -16,6 +16,7 @@
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -34,16 +35,19 @@
 	book := quota.NewBook()
 	noticeBook := notice.NewBook()
 	originBook := origin.NewBook()
-	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, originBook, logger)
+	tracker := reach.New()
+	engineClient := provideEngines(settings)
+	options := provideOptions(settings, store, counter, ledger, parts, book, noticeBook, originBook, tracker, engineClient, logger)
 	loop := coord.New(options)
 	tally := metric.New()
 	pool := providePool(settings, tally)
 	waiters := provideWaiters(loop)
-	tracker := health.New()
+	healthTracker := health.New()
 	paceTracker := pace.New()
 	budget := provideBudget(settings)
 	frontShutdownState := newShutdownState()
-	server := provideRelay(settings, loop, waiters, pool, counter, tracker, paceTracker, budget, ledger, parts, book, noticeBook, tally, frontShutdownState, logger)
-	instance := New(settings, loop, pool, server, parts, book, noticeBook, originBook, tally, frontShutdownState, logger)
+	server := provideRelay(settings, loop, waiters, pool, counter, healthTracker, paceTracker, budget, ledger, parts, book, noticeBook, tracker, tally, frontShutdownState, logger)
+	scout := newScout(tracker, loop, engineClient, pool, healthTracker, logger)
+	instance := New(settings, loop, pool, server, parts, book, noticeBook, originBook, tracker, scout, tally, frontShutdownState, logger)
 	return instance
 }
--- a/health/health.go
+++ b/health/health.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// Forgive ends all suspensions, as this instance could reach no upstream and so learned
+// nothing about any.
+func (t *Tracker) Forgive() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.states {
+		s.unreachable, s.suspendedUntil = 0, time.Time{}
+	}
+}
+
 // Suspended reports whether the upstream is suspended after it was unreachable.
 func (t *Tracker) Suspended(id cardamom.UpstreamID, now time.Time) bool {
 	t.mu.Lock()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -65,6 +65,11 @@
 	t.Add(fmt.Sprintf("streams_resumed_total{by=%q}", by), 1)
 }
 
+// CountHop counts a request that was sent through another instance.
+func (t *Tally) CountHop(answered bool) {
+	t.Add(fmt.Sprintf("hops_total{answered=%q}", strconv.FormatBool(answered)), 1)
+}
+
 // CountRetry counts a retry by service and by whether the budget allowed it.
 func (t *Tally) CountRetry(service string, allowed bool) {
 	t.Add(fmt.Sprintf("retries_total{service=%q,allowed=%q}", service, strconv.FormatBool(allowed)), 1)
--- a/plan/ready.go
+++ b/plan/ready.go
@@ -45,6 +45,17 @@
 	return count
 }
 
+// Live returns the engines that are listed as live and not suspected.
+func (pl *Planner) Live() []cardamom.Upstream {
+	var list []cardamom.Upstream
+	for _, e := range pl.sorted() {
+		if e.live() && !e.suspicion.suspected {
+			list = append(list, e.Upstream.Upstream)
+		}
+	}
+	return list
+}
+
 // Ready returns the engines that can run requests for the model and adapter now.
 func (pl *Planner) Ready(model cardamom.ModelID, adapter string, now time.Time) []*site.Upstream {
 	return pl.ReadyAtVersion(model, adapter, "", now)
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -94,7 +94,7 @@
 }
 
 var _ = Describe("instances that are partitioned from all upstreams", func() {
-	for name, fault := range map[string]host.LinkFault{"are silent": host.Silent, "are reset": host.Resetting, "live on while new ones are refused": host.Refusing} {
+	for name, fault := range map[string]host.LinkFault{"are silent": host.Silent, "are reset": host.Resetting, "live on while new ones hang": host.Hanging} {
 		for _, cut := range []int{1, 3} {
 			It(fmt.Sprintf("serve first tries while connections of %d of four %s", cut, name), func() {
 				s := startPartitioned()
@@ -102,7 +102,7 @@
 					Expect(t.served()).To(Equal(t.sent))
 				}
 				for _, instance := range s.Instances[:cut] {
-					s.CutOff(instance, fault)
+					Expect(s.CutOff(instance, fault)).To(Succeed())
 				}
 				early := sendToAll(s, cutContact)
 				counted := sendToAll(s, cutSpan)
@@ -112,7 +112,7 @@
 					served[n < cut] += t.served()
 				}
 				for _, instance := range s.Instances[:cut] {
-					s.CutOff(instance, host.NoLinkFault)
+					Expect(s.CutOff(instance, host.NoLinkFault)).To(Succeed())
 				}
 				for _, t := range early {
 					t.served()
--- a/relay/death.go
+++ b/relay/death.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/pick"
@@ -19,10 +20,10 @@
 // had already got events of its answer: then it has survived the beginning.
 func (x *exchange) recordDeath(upstream *site.Upstream) {
 	noticed := clock.Now()
-	if x.ctx.Err() != nil || x.progress == hasEvents {
+	if x.ctx.Err() != nil || x.progress == hasEvents || x.othersReach([]cardamom.UpstreamID{upstream.ID}) {
 		return
 	}
-	state := conns.Probe(x.ctx, upstream.Address)
+	state := x.server.Pool.Probe(x.ctx, upstream.Address)
 	if state == conns.Listening {
 		return
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -85,6 +85,16 @@
 	lastEventID string
 	// binding is where the stream began.
 	binding binding
+	// from tells whether the request came from another instance.
+	from hop
+	// hops are the instances through which the request was tried, by their address. viaHop
+	// means that the response at hand comes from one, and hopNow that the next attempt is to
+	// be made through one.
+	hops   map[string]bool
+	viaHop bool
+	hopNow bool
+	// answeredBy is the upstream that sent the response at hand.
+	answeredBy *site.Upstream
 	// software is the version of the upstream that answered last.
 	software string
 	// refusedPart is the part of the prompt for which the request was refused.
@@ -112,6 +122,9 @@
 	if x.endIfOver() {
 		return false
 	}
+	if x.shouldHop(clock.Now()) {
+		return x.sendHop()
+	}
 	upstream, release, ok := x.find()
 	if !ok {
 		return x.mayContinue()
@@ -126,22 +139,23 @@
 		return true
 	}
 	now := time.Now()
-	if x.sends > 0 && !x.allowRetry(upstream) {
+	if x.sends > 0 && !x.allowRetry(string(upstream.ID)) {
 		x.giveUp("retry_budget")
 		return false
 	}
 	return x.send(upstream, now)
 }
 
-// allowRetry reports whether the retry budget allows to send the request again.
-func (x *exchange) allowRetry(upstream *site.Upstream) bool {
+// allowRetry reports whether the retry budget allows to send the request again, to an
+// upstream or through an instance.
+func (x *exchange) allowRetry(to string) bool {
 	now := clock.Now()
 	x.server.shareBudget(now)
 	decision := x.server.Budget.AllowRetry(x.service, now)
 	x.server.Metrics.CountRetry(string(x.service), decision.Allowed)
 	switch {
 	case decision.Allowed:
-		x.log.Info("sent_again", "request", x.info.ID, "upstream", upstream.ID, "service", x.service, "sends", x.sends, "runs", x.runs, "rejected", x.rejected,
+		x.log.Info("sent_again", "request", x.info.ID, "upstream", to, "service", x.service, "sends", x.sends, "runs", x.runs, "rejected", x.rejected,
 			"credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
 	case decision.Changed:
 		x.log.Info("retry_budget_spent", "service", x.service, "credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
@@ -200,7 +214,10 @@
 	x.lastUpstream, x.reportedReady, x.progress, x.sentAt = upstream.ID, false, unanswered, clock.Now()
 	x.firstEventWait = s.Pace.Sent(x.service, upstream.ID, x.info.PromptTokens, now)
 	defer func() { x.firstEventWait.Ended(time.Now()) }()
+	ended := s.Reach.Sent(upstream.ID, clock.Now())
+	defer ended()
 	response, err := s.Pool.Do(x.ctx, upstream.Address, request)
+	x.recordReach(upstream, err)
 	if errors.Is(err, conns.ErrNotSent) {
 		return x.handleNotSent(upstream, err)
 	}
@@ -231,6 +248,14 @@
 		return true
 	}
 	now := time.Now()
+	if x.server.Reach.Doubtful(clock.Now()) {
+		// It says nothing about the upstream.
+		x.server.Pool.CloseIdle(upstream.Address)
+		x.unsent++
+		x.avoid(upstream.ID)
+		x.log.Info("not_sent", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "unsent", x.unsent, "doubtful", true, "reason", err)
+		return x.mayTryAgain()
+	}
 	x.server.Health.Failed(upstream.ID, health.Unreachable, now)
 	x.server.Demand.Failed(upstream.ID)
 	x.server.Pool.CloseIdle(upstream.Address)
@@ -238,6 +263,13 @@
 	x.unsent++
 	x.ignoreSuspension = false
 	x.log.Info("not_sent", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "unsent", x.unsent, "reason", err)
+	x.hopNow = x.hopNow || x.othersReach([]cardamom.UpstreamID{upstream.ID})
+	return x.mayTryAgain()
+}
+
+// mayTryAgain ends a request that has reached no upstream too often, and reports whether it
+// may be tried again.
+func (x *exchange) mayTryAgain() bool {
 	if x.unsent < maxUnsent {
 		return true
 	}
@@ -245,6 +277,16 @@
 	return false
 }
 
+// recordReach records whether an upstream answered a request.
+func (x *exchange) recordReach(upstream *site.Upstream, err error) {
+	switch {
+	case err == nil || errors.Is(err, conns.ErrInvalidResponse):
+		x.server.Reach.Answered(upstream.ID, clock.Now())
+	case x.ctx.Err() == nil:
+		x.server.Reach.Failed(upstream.ID, clock.Now())
+	}
+}
+
 // handleNotRun handles an upstream's answer that it has not run the request.
 func (x *exchange) handleNotRun(upstream *site.Upstream, response *conns.Response, reply ResponseInfo) bool {
 	response.Discard()
@@ -278,12 +320,8 @@
 		x.timeOut()
 		return false
 	}
-	s := x.server
 	now := time.Now()
-	s.Health.Failed(upstream.ID, health.Broken, now)
-	s.Demand.Failed(upstream.ID)
-	x.avoid(upstream.ID)
-	x.recordDeath(upstream)
+	x.recordFailure(upstream, now)
 	x.log.Info("broken", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "sent_ms", now.Sub(sent).Milliseconds(), "runs", x.runs, "parts", x.loggedParts(), "progress", x.progress, "reason", err)
 	if x.mayRetry() {
 		return true
@@ -292,6 +330,21 @@
 	return false
 }
 
+// recordFailure records that an upstream broke a connection, unless that was another instance
+// or says nothing about the upstream.
+func (x *exchange) recordFailure(upstream *site.Upstream, now time.Time) {
+	if x.viaHop {
+		return
+	}
+	x.avoid(upstream.ID)
+	if x.server.Reach.Doubtful(clock.Now()) {
+		return
+	}
+	x.server.Health.Failed(upstream.ID, health.Broken, now)
+	x.server.Demand.Failed(upstream.ID)
+	x.recordDeath(upstream)
+}
+
 // mayRetry reports whether a request that may have run may be sent again.
 func (x *exchange) mayRetry() bool {
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && !x.headerSent &&
--- a/relay/find.go
+++ b/relay/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -226,6 +227,8 @@
 		// Another upstream with that version would be needed: none is listed.
 		x.markEnded()
 		x.giveUpFor("stream_version_gone", 0)
+	case len(found.usable) == 0 && x.othersReach(found.suspected) && !x.from.hopped && len(x.hops) < maxHops && !x.hopNow:
+		x.hopNow = true
 	case full:
 		x.awaitSlot(began)
 	case !found.freeAt.IsZero() && len(found.usable) == 0 && len(found.suspected) == 0:
@@ -240,6 +243,16 @@
 	}
 }
 
+// othersReach reports whether other instances have requests at one of the upstreams that this
+// one could not reach, and none failed.
+func (x *exchange) othersReach(suspected []cardamom.UpstreamID) bool {
+	view := x.server.Views.View()
+	return slices.ContainsFunc(suspected, func(id cardamom.UpstreamID) bool {
+		others := view.PeerStats(id)
+		return others.Running > 0 && others.Failures == 0
+	})
+}
+
 // markEnded marks the request as ended.
 func (x *exchange) markEnded() { x.waited = -1 }
 
--- /dev/null
+++ b/relay/hop.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	cardamom "cardamomcourse.example/cardamom"
+	"cardamomcourse.example/cardamom/clock"
+	"cardamomcourse.example/cardamom/conns"
+	"cardamomcourse.example/cardamom/coord"
+	"cardamomcourse.example/cardamom/site"
+)
+
+// An instance that is partitioned from upstreams sends requests through another one, over the
+// address that only instances reach. The other instance handles such a request like that of
+// a caller, but passes it on to no third one.
+
+// Headers between the two instances. Those of the request are removed before it goes to an
+// upstream, that of the response before it goes to the caller.
+const (
+	// hopHeader is how often the request may have run already.
+	hopHeader = "Cardamom-Hop-Runs"
+	// hopStreamHeader is the id of the request that began the stream that the request goes
+	// on with.
+	hopStreamHeader = "Cardamom-Hop-Stream"
+	// hopUpstreamHeader is the upstream that answered, as ID/START.
+	hopUpstreamHeader = "Cardamom-Hop-Upstream"
+)
+
+const (
+	// maxHops is through how many instances a request is tried, one after the other.
+	maxHops = 2
+	// maxHopped bounds the requests of other instances that an instance handles at a time.
+	maxHopped = 512
+	// unsentBeforeHop is the number of upstreams that a request could not be sent to before
+	// it is sent through another instance.
+	unsentBeforeHop = 2
+	// maxReasonBytes bounds the reason of a refusal by another instance.
+	maxReasonBytes = 64
+)
+
+// hop is what an instance is told with another one's request.
+type hop struct {
+	// hopped means that the request came from another instance.
+	hopped bool
+	runs   int
+	stream string
+}
+
+// IsHopped reports whether a request comes from another instance that could not reach an
+// upstream. It is meant for requests at the address that only instances reach.
+func IsHopped(r *http.Request) bool { return r.Header.Get(hopHeader) != "" }
+
+// ServeHopped handles another instance's request.
+func (s *Server) ServeHopped(w http.ResponseWriter, r *http.Request) {
+	runs, err := strconv.Atoi(r.Header.Get(hopHeader))
+	if err != nil || runs < 0 {
+		http.Error(w, "invalid "+hopHeader, http.StatusBadRequest)
+		return
+	}
+	from := hop{hopped: true, runs: runs, stream: r.Header.Get(hopStreamHeader)}
+	r.Header.Del(hopHeader)
+	r.Header.Del(hopStreamHeader)
+	if s.hopped.Add(1) > maxHopped {
+		s.hopped.Add(-1)
+		s.Dialect.SetRetryAfter(w.Header(), defaultRetryDelay)
+		http.Error(w, "hops_full", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.hopped.Add(-1)
+	s.serve(w, r, from)
+}
+
+// Hopped returns how many requests of other instances are being handled.
+func (s *Server) Hopped() int { return int(s.hopped.Load()) }
+
+// hopTargets returns the members through which a request may be sent.
+func hopTargets(view *coord.View, self cardamom.InstanceID, tried map[string]bool) []coord.Member {
+	var targets []coord.Member
+	for _, m := range view.Members() {
+		if m.ID != self && !m.Leaving && !m.Partitioned && !tried[m.SyncAddress] {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
+// shouldHop reports whether the request is to be sent through another instance: this one is
+// partitioned from all upstreams or has reason to think so, or several upstreams could not
+// be reached though others may reach them.
+func (x *exchange) shouldHop(now time.Time) bool {
+	if x.from.hopped || len(x.hops) >= maxHops {
+		return false
+	}
+	if !x.hopNow && !x.server.Reach.Doubtful(now) && x.unsent < unsentBeforeHop {
+		return false
+	}
+	return len(hopTargets(x.server.Views.View(), x.server.Instance, x.hops)) > 0
+}
+
+// sendHop sends the request through another instance, and reports whether to continue with
+// another attempt.
+func (x *exchange) sendHop() bool {
+	s := x.server
+	targets := hopTargets(s.Views.View(), s.Instance, x.hops)
+	target := targets[xxhash.Sum64String(x.info.ID)%uint64(len(targets))]
+	if x.hops == nil {
+		x.hops = make(map[string]bool)
+	}
+	x.hops[target.SyncAddress], x.hopNow = true, false
+	if x.sends > 0 && !x.allowRetry(string(target.ID)) {
+		x.giveUp("retry_budget")
+		return false
+	}
+	request := &conns.Request{Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, NonRepeatable: !x.route.Repeatable(), Header: x.hopRequestHeader()}
+	x.viaHop, x.firstEventWait, x.progress = true, nil, unanswered
+	defer func() { x.viaHop = false }()
+	began := time.Now()
+	response, err := s.Peers.Do(x.ctx, target.SyncAddress, request)
+	s.Metrics.CountHop(err == nil)
+	if errors.Is(err, conns.ErrNotSent) {
+		x.log.Info("hop_not_sent", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "reason", err)
+		return true
+	}
+	x.sends++
+	if err != nil {
+		x.log.Info("hop_broken", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "sent_ms", time.Since(began).Milliseconds(), "reason", err)
+		return x.handleHopBroken()
+	}
+	defer response.Close()
+	x.log.Info("hop", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "status", response.Status(), "upstream", response.Header().Get(hopUpstreamHeader), "unsent", x.unsent)
+	return x.handleHopResponse(response)
+}
+
+// hopRequestHeader returns the caller's headers with the time left and what the other
+// instance has to know.
+func (x *exchange) hopRequestHeader() http.Header {
+	lastEventID, stream := x.info.LastEventID, x.info.Resumes
+	if x.lastEventID != "" {
+		lastEventID = x.lastEventID
+		if stream == "" {
+			stream = x.info.ID
+		}
+	}
+	header := x.server.Dialect.HopHeader(endToEnd(x.r.Header), time.Until(x.deadline()), lastEventID)
+	header.Set(hopHeader, strconv.Itoa(x.runs))
+	if stream != "" {
+		header.Set(hopStreamHeader, stream)
+	}
+	return header
+}
+
+// handleHopBroken handles a request that may have run through another instance and has no
+// valid response.
+func (x *exchange) handleHopBroken() bool {
+	x.runs++
+	if x.ctx.Err() != nil {
+		if !x.endIfOver() {
+			x.timeOut()
+		}
+		return false
+	}
+	if x.mayRetry() {
+		return true
+	}
+	x.fail(http.StatusBadGateway, "upstream_broke")
+	return false
+}
+
+// handleHopResponse passes on what another instance answered. A refusal of its own means that
+// the request has not run there, so another instance may be tried.
+func (x *exchange) handleHopResponse(response *conns.Response) bool {
+	reply := x.server.Dialect.ParseResponse(response.Status(), response.Header())
+	if notRunStatuses[response.Status()] && !reply.HasSeal {
+		return x.handleHopRefusal(response, reply)
+	}
+	x.runs++
+	x.framing, x.tailBytes = response.Framing(), 0
+	upstream := x.upstreamBehind(response)
+	if reply.Leaving && upstream.ID != "" {
+		x.recordHopNotice(upstream)
+	}
+	if x.headerSent && response.Status() >= http.StatusMultipleChoices {
+		response.Discard()
+		x.abort("not_resumed")
+	}
+	x.progress = answerBegun
+	if x.route.Kind == site.Streaming && response.Status() < http.StatusMultipleChoices {
+		return x.forwardStream(upstream, response)
+	}
+	return x.forwardWhole(upstream, response)
+}
+
+// retryElsewhere are the reasons for which an instance refuses a request that another one may
+// serve.
+var retryElsewhere = map[string]bool{"leaving": true, "unreachable": true, "no_catalog": true, "hops_full": true}
+
+// handleHopRefusal handles a request that the other instance has not run.
+func (x *exchange) handleHopRefusal(response *conns.Response, reply ResponseInfo) bool {
+	body := make([]byte, maxReasonBytes)
+	n, _ := response.Read(body)
+	reason, _, _ := strings.Cut(string(body[:n]), "\n")
+	response.Discard()
+	if retryElsewhere[reason] && len(x.hops) < maxHops {
+		return true
+	}
+	if reason == "" {
+		reason = "refused_by_instance"
+	}
+	x.giveUpFor(reason, reply.Wait.For)
+	return false
+}
+
+// upstreamBehind returns the upstream whose answer another instance passes on, one without an
+// ID if the instance doesn't say.
+func (x *exchange) upstreamBehind(response *conns.Response) *site.Upstream {
+	id, started, _ := strings.Cut(response.Header().Get(hopUpstreamHeader), "/")
+	startedMs, err := strconv.ParseInt(started, 10, 64)
+	if err != nil {
+		return &site.Upstream{}
+	}
+	if known, ok := x.server.Views.View().Upstream(cardamom.UpstreamID(id)); ok && known.StartedMs == startedMs {
+		return known
+	}
+	return &site.Upstream{Upstream: cardamom.Upstream{ID: cardamom.UpstreamID(id)}, StartedMs: startedMs}
+}
+
+// recordHopNotice records that the upstream behind another instance says that it leaves.
+func (x *exchange) recordHopNotice(upstream *site.Upstream) {
+	if x.server.Notices.Leave(runOf(upstream), clock.Now()) {
+		x.server.Metrics.CountNotice("leaving")
+		x.log.Info("upstream_leaves", "upstream", upstream.ID, "origin", "member", "request", x.info.ID)
+	}
+}
+
+// setHopHeader tells the instance that the request came from which upstream has answered, and
+// removes what an instance told this one.
+func (x *exchange) setHopHeader(header http.Header) {
+	header.Del(hopUpstreamHeader)
+	if x.from.hopped && x.answeredBy != nil {
+		header.Set(hopUpstreamHeader, string(x.answeredBy.ID)+"/"+strconv.FormatInt(x.answeredBy.StartedMs, 10))
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,7 @@
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -106,6 +108,9 @@
 	ForwardHeader(header http.Header, send ForwardOptions) http.Header
 	ParseResponse(status int, header http.Header) ResponseInfo
 	SetRetryAfter(header http.Header, wait time.Duration)
+	// HopHeader returns a caller's headers for another instance, with the time left and, if
+	// it is not empty, the last event of the stream that the caller has.
+	HopHeader(header http.Header, remaining time.Duration, lastEventID string) http.Header
 }
 
 // Viewer returns the newest view of upstreams and configuration.
@@ -129,6 +134,9 @@
 	// CountResumption counts a stream that goes on: within its response, or after its
 	// caller came back.
 	CountResumption(by string)
+	// CountHop counts a request that was sent through another instance, by whether that
+	// answered.
+	CountHop(answered bool)
 	// CountPermit counts the answer to a request for a permit.
 	CountPermit(answer string)
 	// CountRateLimit counts a change of the rate limit of an upstream.
@@ -144,6 +152,8 @@
 
 // Options are the dependencies of a server.
 type Options struct {
+	// Instance is this instance's ID.
+	Instance   cardamom.InstanceID
 	DataCentre cardamom.DataCentre
 	Dialect    Dialect
 	Views      Viewer
@@ -162,6 +172,10 @@
 	// answers.
 	Alone   *quota.Share
 	Origins Origins
+	// Reach tells whether this instance is partitioned from all upstreams. Peers has the
+	// connections to other instances.
+	Reach   *reach.Tracker
+	Peers   *conns.Pool
 	Metrics Metrics
 	// Leaving reports whether responses should close their connection. Closing is
 	// cancelled when new and waiting requests are to be refused.
@@ -174,19 +188,25 @@
 type Server struct {
 	Options
 	availability *availability
+	// hopped counts the requests of other instances that are being handled.
+	hopped atomic.Int64
 }
 
 // New returns a server.
 func New(options Options) *Server { return &Server{Options: options, availability: newAvailability()} }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, hop{}) }
+
+// serve handles a request of a caller or of another instance.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, from hop) {
 	arrived := time.Now()
 	if s.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{server: s, w: w, r: r, arrived: arrived, info: s.Dialect.ParseRequest(r.Header)}
+	x := &exchange{server: s, w: w, r: r, arrived: arrived, info: s.Dialect.ParseRequest(r.Header), from: from, runs: from.runs}
 	x.log = s.Logger
+	x.info.Resumes = cmp.Or(from.stream, x.info.Resumes)
 	if x.refuseIfClosing() {
 		return
 	}
@@ -287,12 +307,15 @@
 func (x *exchange) run() {
 	s := x.server
 	x.key = demand.Key{Service: x.service, Model: x.info.Model}
-	if x.info.Model != "" {
-		s.Demand.Arrived(x.key, x.info.PromptTokens)
-	}
 	now := clock.Now()
 	s.shareBudget(now)
-	s.Budget.CountRequest(x.service, now)
+	if !x.from.hopped {
+		// The instance that the request came from has counted it.
+		if x.info.Model != "" {
+			s.Demand.Arrived(x.key, x.info.PromptTokens)
+		}
+		s.Budget.CountRequest(x.service, now)
+	}
 	x.fingerprint = x.computeFingerprint()
 	if s.Ledger.Verdict(x.fingerprint, x.arrived) == poison.Refused {
 		x.refuse("crashes_upstreams", 0)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -34,6 +34,7 @@
 	"cardamomcourse.example/cardamom/platform"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
+	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/relay"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
@@ -162,7 +163,7 @@
 	server := relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Views: w.views, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Origins: w.origins, Metrics: metric.New(),
+		Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Alone: quota.NewShare(func() float64 { return 0 }), Origins: w.origins, Reach: reach.New(), Peers: conns.New(nil), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Logger: hclog.NewNullLogger(),
 	})
 	w.server = httptest.NewServer(server)
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -44,7 +44,7 @@
 func (x *exchange) handleResponse(upstream *site.Upstream, response *conns.Response) bool {
 	now := time.Now()
 	status := response.Status()
-	x.framing, x.tailBytes = response.Framing(), 0
+	x.framing, x.tailBytes, x.answeredBy = response.Framing(), 0, upstream
 	if status >= http.StatusInternalServerError {
 		x.runs++
 		x.server.Health.Failed(upstream.ID, health.ServerError, now)
@@ -126,6 +126,7 @@
 	for name, values := range endToEnd(response.Header()) {
 		header[name] = values
 	}
+	x.setHopHeader(header)
 	if _, ok := header["Content-Type"]; !ok {
 		// A nil value keeps net/http from detecting a content type.
 		header["Content-Type"] = nil
@@ -208,7 +209,7 @@
 		"model", x.info.Model, "adapter", x.info.Adapter, "upstream", x.lastUpstream, "waited_ms", x.waited.Milliseconds(), "held_ms", x.held.Milliseconds(), "isolated_ms", x.isolatedFor.Milliseconds(), "first_ms", x.firstEventAfter.Milliseconds(), "took_ms", took.Milliseconds(),
 		"part", x.refusedPart, "framing", x.framing, "last_event", x.lastEventID, "resumes", x.info.Resumes, "software", x.software, "tail_bytes", x.tailBytes,
 		"gap_ms", x.delivery.longestGap.Milliseconds(), "relay_ms", x.delivery.longestRelay.Milliseconds(), "late", late != "", "late_by", late,
-		"sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
+		"hops", len(x.hops), "hopped", x.from.hopped, "sends", x.sends, "runs", x.runs, "rejected", x.rejected, "unsent", x.unsent)
 }
 
 func outcomeOf(status int) string {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
-	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/site"
 )
 
@@ -64,8 +64,9 @@
 	for {
 		n, err := response.Read(buffer)
 		read := time.Now()
-		if n > 0 {
+		if n > 0 && !x.viaHop {
 			x.firstEventWait.FirstEvent(read)
+			x.server.Reach.Answered(upstream.ID, clock.Now())
 		}
 		partial = append(partial, buffer[:n]...)
 		if end := wholeEventsLength(partial); end > 0 {
@@ -84,7 +85,7 @@
 			}
 			flusher.Flush()
 			x.delivery.written(read, time.Now())
-			if !lastEvent.IsZero() && x.route.TargetGap > 0 {
+			if !lastEvent.IsZero() && x.route.TargetGap > 0 && !x.viaHop {
 				x.server.Pace.Gap(x.service, upstream.ID, read.Sub(lastEvent), x.route.TargetGap, read)
 			}
 			lastEvent = read
@@ -154,10 +155,10 @@
 		}
 		x.abort("deadline")
 	}
-	x.server.Health.Failed(upstream.ID, health.Broken, now)
-	x.server.Demand.Failed(upstream.ID)
-	x.avoid(upstream.ID)
-	x.recordDeath(upstream)
+	if !x.viaHop {
+		x.server.Reach.Failed(upstream.ID, clock.Now())
+	}
+	x.recordFailure(upstream, now)
 	x.log.Info("stream_broken", "request", x.info.ID, "upstream", upstream.ID, "last_event", x.lastEventID, "age_ms", x.ageMS(now), "runs", x.runs, "parts", x.loggedParts(), "progress", x.progress, "reason", err)
 	if x.mayResume() {
 		return true
