--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -53,6 +53,7 @@
 	s.checkParts()
 	s.checkNotices()
 	s.checkVersions()
+	s.checkPartitions()
 	s.checkServed()
 	for _, instance := range s.site.Instances {
 		if strings.Contains(instance.Log(), "panic") {
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -32,6 +32,7 @@
 	{"says_leaving", sayLeaving},
 	{"asks_to_wait", askToWait},
 	{"release", releaseEngine},
+	{"partition", partition},
 }
 
 // soakFaults are the faults of a soak unless names are given.
--- /dev/null
+++ b/cmd/cardload/soak_partition.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cardamomcourse.example/cardamom/fakes/host"
+)
+
+const (
+	// soakPartitionSpans is how many times as long as other faults a partition lasts, as
+	// the platform counts nothing in its first 3 s.
+	soakPartitionSpans = 4
+	// soakPartitionLeft is how many first tries may fail at partitioned instances, and one in
+	// soakPartitionShare of all.
+	soakPartitionLeft  = 10
+	soakPartitionShare = 50
+)
+
+// partitioned is a time in which an instance reached no upstream.
+type partitioned struct {
+	address  string
+	from, to time.Time
+}
+
+// partition cuts some instances off from all upstreams, at least one of them in most cases
+// not.
+func partition(s *soak, random *rand.Rand, span time.Duration) func() {
+	fault := []host.LinkFault{host.Silent, host.Resetting, host.Hanging}[random.IntN(3)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var cut []*host.Instance
+	var times []*partitioned
+	for _, n := range random.Perm(len(s.site.Instances))[:1+random.IntN(len(s.site.Instances))] {
+		instance := s.site.Instances[n]
+		if err := s.site.CutOff(instance, fault); err != nil {
+			s.wire.Violations = append(s.wire.Violations, err.Error())
+			continue
+		}
+		cut = append(cut, instance)
+		times = append(times, &partitioned{address: instance.EntryAddress, from: time.Now()})
+	}
+	s.partitions = append(s.partitions, times...)
+	return func() {
+		time.Sleep((soakPartitionSpans - 1) * span)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for n, instance := range cut {
+			if err := s.site.CutOff(instance, host.NoLinkFault); err != nil {
+				s.wire.Violations = append(s.wire.Violations, err.Error())
+			}
+			times[n].to = time.Now()
+		}
+	}
+}
+
+// checkPartitions checks that while some instances reach no upstream, from 3 s after that began,
+// first tries there are served two thirds as often as at the others.
+func (s *soak) checkPartitions() {
+	for _, p := range s.partitions {
+		sent, served := map[bool]int{}, map[bool]int{}
+		for _, e := range s.sent {
+			if e.takenUp != nil || e.part != "" || e.began.Sub(p.from) < soakContact || !e.ended.Before(p.to) || s.isDisturbedSince(e.address, e.began.Add(-soakContact), e.ended) {
+				continue
+			}
+			isCut := s.isPartitioned(e)
+			sent[isCut]++
+			if e.answered && e.response.Status == http.StatusOK {
+				served[isCut]++
+			}
+		}
+		failed := sent[true] - served[true]
+		if 3*served[true]*sent[false] < 2*served[false]*sent[true] && failed > soakPartitionLeft+(sent[true]+sent[false])/soakPartitionShare {
+			s.addViolation(fmt.Sprintf("partitioned instances served %d of %d first tries, the others %d of %d", served[true], sent[true], served[false], sent[false]))
+			return
+		}
+	}
+}
+
+// isPartitioned reports whether the instance of a request reached no upstream while it was
+// under way.
+func (s *soak) isPartitioned(e *sentRequest) bool {
+	for _, p := range s.partitions {
+		if p.address == e.address && p.from.Before(e.ended) && (p.to.IsZero() || p.to.After(e.began)) {
+			return true
+		}
+	}
+	return false
+}
--- a/front/scout.go
+++ b/front/scout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -47,7 +48,7 @@
 	for _, list := range [][]cardamom.Upstream{engines, plain} {
 		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 	}
-	all := append(engines, plain...)
+	all := slices.Concat(engines, plain)
 	return all[:min(len(all), maxProbed)]
 }
 
