Count a request that another instance refused as sent only if it reached an upstream

A refused hop drew on the retry budget when the request went to a second instance, though it had reached no upstream. The other instance now says how often it did.

--- a/relay/hop.go
+++ b/relay/hop.go
@@ -30,6 +30,8 @@
 	hopStreamHeader = "Cardamom-Hop-Stream"
 	// hopUpstreamHeader is the upstream that answered, as ID/START.
 	hopUpstreamHeader = "Cardamom-Hop-Upstream"
+	// hopSendsHeader is how often a refused request has reached upstreams.
+	hopSendsHeader = "Cardamom-Hop-Sends"
 )
 
 const (
@@ -127,8 +129,8 @@
 		x.log.Info("hop_not_sent", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "reason", err)
 		return true
 	}
-	x.sends++
 	if err != nil {
+		x.sends++
 		x.log.Info("hop_broken", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "sent_ms", time.Since(began).Milliseconds(), "reason", err)
 		return x.handleHopBroken()
 	}
@@ -179,6 +181,7 @@
 	if notRunStatuses[response.Status()] && !reply.HasSeal {
 		return x.handleHopRefusal(response, reply)
 	}
+	x.sends++
 	x.runs++
 	x.framing, x.tailBytes = response.Framing(), 0
 	upstream := x.upstreamBehind(response)
@@ -206,6 +209,9 @@
 	n, _ := response.Read(body)
 	reason, _, _ := strings.Cut(string(body[:n]), "\n")
 	response.Discard()
+	if sends, err := strconv.Atoi(response.Header().Get(hopSendsHeader)); err == nil && sends > 0 {
+		x.sends += sends
+	}
 	if retryElsewhere[reason] && len(x.hops) < maxHops {
 		return true
 	}
--- a/relay/hop_test.go
+++ b/relay/hop_test.go
@@ -37,10 +37,12 @@
 	Path  string       `json:"path"`
 	Peers []peerAnswer `json:"peers"`
 	// PartitionedPeers means that the other instances reach no upstream either.
-	PartitionedPeers bool   `json:"partitioned_peers"`
-	Status           int    `json:"status"`
-	Body             string `json:"body"`
-	RetryAfter       string `json:"retry_after"`
+	PartitionedPeers bool `json:"partitioned_peers"`
+	// NoBudget means that the retry budget allows to send nothing again.
+	NoBudget   bool   `json:"no_budget"`
+	Status     int    `json:"status"`
+	Body       string `json:"body"`
+	RetryAfter string `json:"retry_after"`
 	// Asked is how many instances got the request.
 	Asked int `json:"asked"`
 }
@@ -149,7 +151,9 @@
 		w := newFixture(coord.AwaitResult{})
 		o := &others{answers: []peerAnswer{{Status: 200, Seal: true}}}
 		w.partition(o, false)
-		Expect(serve(w, map[string]string{"Cardamom-Hop-Runs": "0"}).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		response := serve(w, map[string]string{"Cardamom-Hop-Runs": "0"})
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Cardamom-Hop-Sends")).To(Equal("0"))
 		Expect(o.asked).To(BeEmpty())
 	})
 
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -176,6 +176,9 @@
 		x.abort(reason)
 	}
 	x.headerSent = true
+	if x.from.hopped {
+		x.w.Header().Set(hopSendsHeader, strconv.Itoa(x.sends))
+	}
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	body := []byte(reason + "\n")
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
