Pass requests on only to instances that reach upstreams

A request went through an instance that was partitioned too and not known to be, since the coordinator had been killed or the exchange was still to come; it broke there, and one hop is all it gets. An instance that suspects that it is partitioned now refuses such requests at once, the first tries up to three, and keeps away for half a second from those that refused.

--- a/cmd/cardd/serve.go
+++ b/cmd/cardd/serve.go
@@ -19,6 +19,7 @@
 	command := &cobra.Command{
 		Use: "serve", Short: "Run the instance until SIGINT or SIGTERM", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			signals := notifySignals()
 			settings, err := conf.Load(path)
 			if err != nil {
 				return err
@@ -28,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := untilSignal(command.Context())
+			ctx, stop := untilSignal(command.Context(), signals)
 			defer stop()
 			return instance.Run(ctx)
 		},
@@ -37,12 +38,18 @@
 	return command
 }
 
+// notifySignals returns a channel with the signals that the process gets from now on. It is
+// called before the settings are read, as a signal that nobody asked for ends the process.
+func notifySignals() <-chan os.Signal {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	return signals
+}
+
 // untilSignal returns a context that is cancelled at the first SIGINT or SIGTERM.
 // A second signal exits the process at once.
-func untilSignal(parent context.Context) (context.Context, context.CancelFunc) {
+func untilSignal(parent context.Context, signals <-chan os.Signal) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
 		<-signals
 		cancel()
--- a/cmd/cardfront/main.go
+++ b/cmd/cardfront/main.go
@@ -54,6 +54,7 @@
 	command := &cobra.Command{
 		Use: "serve", Short: "Run the instance until SIGINT or SIGTERM", Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			signals := notifySignals()
 			settings, err := front.Load(path)
 			if err != nil {
 				return err
@@ -64,7 +65,7 @@
 			defer out.Flush(logFlushTimeout)
 			logger := logs.New(out, "cardfront", settings.LogLevel())
 			instance := front.Build(settings, logger)
-			ctx, stop := untilSignal(command.Context(), path, instance, logger)
+			ctx, stop := untilSignal(command.Context(), signals, path, instance, logger)
 			defer stop()
 			return instance.Run(ctx)
 		},
@@ -73,12 +74,18 @@
 	return command
 }
 
+// notifySignals returns a channel with the signals that the process gets from now on. It is
+// called before the settings are read, as a signal that nobody asked for ends the process.
+func notifySignals() <-chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	return signals
+}
+
 // untilSignal returns a context that is cancelled at SIGINT or SIGTERM. SIGHUP
 // reloads the settings; settings that fail the check are logged and ignored.
-func untilSignal(parent context.Context, path string, instance *front.Instance, logger hclog.Logger) (context.Context, context.CancelFunc) {
+func untilSignal(parent context.Context, signals <-chan os.Signal, path string, instance *front.Instance, logger hclog.Logger) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
 		for received := range signals {
 			if received != syscall.SIGHUP {
--- a/cmd/cardload/soak_partition.go
+++ b/cmd/cardload/soak_partition.go
@@ -65,7 +65,10 @@
 			if e.takenUp != nil || e.part != "" || e.began.Sub(p.from) < soakContact || !e.ended.Before(p.to) || s.isDisturbedSince(e.address, e.began.Add(-soakContact), e.ended) {
 				continue
 			}
-			isCut := s.isPartitioned(e)
+			began, isCut := s.partitionedSince(e.address, e.began, e.ended)
+			if isCut && e.began.Sub(began) < soakContact || s.areAllPartitioned(e.began, e.ended) {
+				continue
+			}
 			sent[isCut]++
 			if e.answered && e.response.Status == http.StatusOK {
 				served[isCut]++
@@ -79,13 +82,24 @@
 	}
 }
 
-// isPartitioned reports whether the instance of a request reached no upstream while it was
-// under way.
-func (s *soak) isPartitioned(e *sentRequest) bool {
+// partitionedSince returns since when an instance reached no upstream at some time between
+// two, by the latest partition, and whether it did not.
+func (s *soak) partitionedSince(address string, from, to time.Time) (since time.Time, isCut bool) {
 	for _, p := range s.partitions {
-		if p.address == e.address && p.from.Before(e.ended) && (p.to.IsZero() || p.to.After(e.began)) {
-			return true
+		if p.address == address && p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) && p.from.After(since) {
+			since, isCut = p.from, true
+		}
+	}
+	return since, isCut
+}
+
+// areAllPartitioned reports whether no instance reached an upstream at some time between two,
+// so that none could serve for another.
+func (s *soak) areAllPartitioned(from, to time.Time) bool {
+	for _, instance := range s.site.Instances {
+		if _, isCut := s.partitionedSince(instance.EntryAddress, from, to); !isCut {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -93,6 +93,8 @@
 	hops   map[string]bool
 	viaHop bool
 	hopNow bool
+	// hopAddress is the instance of the last hop.
+	hopAddress string
 	// answeredBy is the upstream that sent the response at hand.
 	answeredBy *site.Upstream
 	// software is the version of the upstream that answered last.
--- a/relay/hop.go
+++ b/relay/hop.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +38,10 @@
 
 const (
 	// maxHops is through how many instances a request is tried, one after the other.
-	maxHops = 2
+	maxHops = 3
+	// hopAvoidance is how long an instance that couldn't serve another one's request gets no
+	// further ones if there are others.
+	hopAvoidance = 500 * time.Millisecond
 	// maxHopped bounds the requests of other instances that an instance handles at a time.
 	maxHopped = 512
 	// unsentBeforeHop is the number of upstreams that a request could not be sent to before
@@ -75,6 +80,12 @@
 		return
 	}
 	defer s.hopped.Add(-1)
+	if s.Reach.Doubtful(clock.Now()) {
+		w.Header().Set(hopSendsHeader, "0")
+		s.Dialect.SetRetryAfter(w.Header(), defaultRetryDelay)
+		http.Error(w, "partitioned", http.StatusServiceUnavailable)
+		return
+	}
 	s.serve(w, r, from)
 }
 
@@ -92,6 +103,25 @@
 	return targets
 }
 
+// avoidHops makes an instance that couldn't serve a request get no further ones for a moment.
+func (s *Server) avoidHops(address string, now time.Time) {
+	s.hopMu.Lock()
+	defer s.hopMu.Unlock()
+	maps.DeleteFunc(s.hopAvoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	s.hopAvoided[address] = now.Add(hopAvoidance)
+}
+
+// preferredHops returns the targets that are not avoided, all if all are.
+func (s *Server) preferredHops(targets []coord.Member, now time.Time) []coord.Member {
+	s.hopMu.Lock()
+	defer s.hopMu.Unlock()
+	preferred := slices.DeleteFunc(slices.Clone(targets), func(m coord.Member) bool { return now.Before(s.hopAvoided[m.SyncAddress]) })
+	if len(preferred) == 0 {
+		return targets
+	}
+	return preferred
+}
+
 // shouldHop reports whether the request is to be sent through another instance: this one is
 // partitioned from all upstreams or has reason to think so, or several upstreams could not
 // be reached though others may reach them.
@@ -109,12 +139,12 @@
 // another attempt.
 func (x *exchange) sendHop() bool {
 	s := x.server
-	targets := hopTargets(s.Views.View(), s.Instance, x.hops)
+	targets := s.preferredHops(hopTargets(s.Views.View(), s.Instance, x.hops), clock.Now())
 	target := targets[xxhash.Sum64String(x.info.ID)%uint64(len(targets))]
 	if x.hops == nil {
 		x.hops = make(map[string]bool)
 	}
-	x.hops[target.SyncAddress], x.hopNow = true, false
+	x.hops[target.SyncAddress], x.hopNow, x.hopAddress = true, false, target.SyncAddress
 	if x.sends > 0 && !x.allowRetry(string(target.ID)) {
 		x.giveUp("retry_budget")
 		return false
@@ -126,6 +156,7 @@
 	response, err := s.Peers.Do(x.ctx, target.SyncAddress, request)
 	s.Metrics.CountHop(err == nil)
 	if errors.Is(err, conns.ErrNotSent) {
+		s.avoidHops(target.SyncAddress, clock.Now())
 		x.log.Info("hop_not_sent", "request", x.info.ID, "instance", target.ID, "age_ms", x.ageMS(time.Now()), "reason", err)
 		return true
 	}
@@ -201,7 +232,7 @@
 
 // retryElsewhere are the reasons for which an instance refuses a request that another one may
 // serve.
-var retryElsewhere = map[string]bool{"leaving": true, "unreachable": true, "no_catalog": true, "hops_full": true}
+var retryElsewhere = map[string]bool{"partitioned": true, "leaving": true, "unreachable": true, "no_catalog": true, "hops_full": true}
 
 // handleHopRefusal handles a request that the other instance has not run.
 func (x *exchange) handleHopRefusal(response *conns.Response, reply ResponseInfo) bool {
@@ -212,8 +243,16 @@
 	if sends, err := strconv.Atoi(response.Header().Get(hopSendsHeader)); err == nil && sends > 0 {
 		x.sends += sends
 	}
-	if retryElsewhere[reason] && len(x.hops) < maxHops {
-		return true
+	if retryElsewhere[reason] {
+		x.server.avoidHops(x.hopAddress, clock.Now())
+		if len(x.hops) < maxHops && len(hopTargets(x.server.Views.View(), x.server.Instance, x.hops)) > 0 {
+			x.hopNow = true
+			return true
+		}
+	}
+	if reason == "partitioned" {
+		// No other instance reaches an upstream.
+		reason = "unreachable"
 	}
 	if reason == "" {
 		reason = "refused_by_instance"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -190,10 +191,15 @@
 	availability *availability
 	// hopped counts the requests of other instances that are being handled.
 	hopped atomic.Int64
+	// hopAvoided are the instances that get no requests of this one until a time.
+	hopMu      sync.Mutex
+	hopAvoided map[string]time.Time
 }
 
 // New returns a server.
-func New(options Options) *Server { return &Server{Options: options, availability: newAvailability()} }
+func New(options Options) *Server {
+	return &Server{Options: options, availability: newAvailability(), hopAvoided: make(map[string]time.Time)}
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, hop{}) }
