--- a/coord/term.go
+++ b/coord/term.go
@@ -192,6 +192,7 @@
 		p.Remove(id)
 	}
 	delete(t.plain, id)
+	delete(t.firstMisses, id)
 	if _, ok := t.published[id]; !ok {
 		return
 	}
