Choose the instance for a hop once

The members could change between the decision and the send, and the choice among none of them would have ended the process.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -124,8 +124,8 @@
 	if x.endIfOver() {
 		return false
 	}
-	if x.shouldHop(clock.Now()) {
-		return x.sendHop()
+	if target, ok := x.chooseHop(clock.Now()); ok {
+		return x.sendHop(target)
 	}
 	upstream, release, ok := x.find()
 	if !ok {
@@ -279,16 +279,6 @@
 	return false
 }
 
-// recordReach records whether an upstream answered a request.
-func (x *exchange) recordReach(upstream *site.Upstream, err error) {
-	switch {
-	case err == nil || errors.Is(err, conns.ErrInvalidResponse):
-		x.server.Reach.Answered(upstream.ID, clock.Now())
-	case x.ctx.Err() == nil:
-		x.server.Reach.Failed(upstream.ID, clock.Now())
-	}
-}
-
 // handleNotRun handles an upstream's answer that it has not run the request.
 func (x *exchange) handleNotRun(upstream *site.Upstream, response *conns.Response, reply ResponseInfo) bool {
 	response.Discard()
@@ -332,21 +322,6 @@
 	return false
 }
 
-// recordFailure records that an upstream broke a connection, unless that was another instance
-// or says nothing about the upstream.
-func (x *exchange) recordFailure(upstream *site.Upstream, now time.Time) {
-	if x.viaHop {
-		return
-	}
-	x.avoid(upstream.ID)
-	if x.server.Reach.Doubtful(clock.Now()) {
-		return
-	}
-	x.server.Health.Failed(upstream.ID, health.Broken, now)
-	x.server.Demand.Failed(upstream.ID)
-	x.recordDeath(upstream)
-}
-
 // mayRetry reports whether a request that may have run may be sent again.
 func (x *exchange) mayRetry() bool {
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && !x.headerSent &&
--- a/relay/find.go
+++ b/relay/find.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -243,16 +242,6 @@
 	}
 }
 
-// othersReach reports whether other instances have requests at one of the upstreams that this
-// one could not reach, and none failed.
-func (x *exchange) othersReach(suspected []cardamom.UpstreamID) bool {
-	view := x.server.Views.View()
-	return slices.ContainsFunc(suspected, func(id cardamom.UpstreamID) bool {
-		others := view.PeerStats(id)
-		return others.Running > 0 && others.Failures == 0
-	})
-}
-
 // markEnded marks the request as ended.
 func (x *exchange) markEnded() { x.waited = -1 }
 
--- a/relay/hop.go
+++ b/relay/hop.go
@@ -122,25 +122,25 @@
 	return preferred
 }
 
-// shouldHop reports whether the request is to be sent through another instance: this one is
-// partitioned from all upstreams or has reason to think so, or several upstreams could not
-// be reached though others may reach them.
-func (x *exchange) shouldHop(now time.Time) bool {
-	if x.from.hopped || len(x.hops) >= maxHops {
-		return false
+// chooseHop returns the instance through which the request is to be sent, and false if it is
+// to be sent from here: this instance is not partitioned from all upstreams nor has reason to
+// think so, and no more than one upstream could not be reached; or no other instance can help.
+func (x *exchange) chooseHop(now time.Time) (coord.Member, bool) {
+	s := x.server
+	if x.from.hopped || len(x.hops) >= maxHops || !x.hopNow && !s.Reach.Doubtful(now) && x.unsent < unsentBeforeHop {
+		return coord.Member{}, false
 	}
-	if !x.hopNow && !x.server.Reach.Doubtful(now) && x.unsent < unsentBeforeHop {
-		return false
+	targets := s.preferredHops(hopTargets(s.Views.View(), s.Instance, x.hops), now)
+	if len(targets) == 0 {
+		return coord.Member{}, false
 	}
-	return len(hopTargets(x.server.Views.View(), x.server.Instance, x.hops)) > 0
+	return targets[xxhash.Sum64String(x.info.ID)%uint64(len(targets))], true
 }
 
 // sendHop sends the request through another instance, and reports whether to continue with
 // another attempt.
-func (x *exchange) sendHop() bool {
+func (x *exchange) sendHop(target coord.Member) bool {
 	s := x.server
-	targets := s.preferredHops(hopTargets(s.Views.View(), s.Instance, x.hops), clock.Now())
-	target := targets[xxhash.Sum64String(x.info.ID)%uint64(len(targets))]
 	if x.hops == nil {
 		x.hops = make(map[string]bool)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,7 @@
 	"cardamomcourse.example/cardamom/demand"
 	"cardamomcourse.example/cardamom/health"
 	"cardamomcourse.example/cardamom/notice"
+	"cardamomcourse.example/cardamom/origin"
 	"cardamomcourse.example/cardamom/pace"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/quota"
@@ -43,8 +44,8 @@
 
 const (
 	// maxRequestTime bounds every request, also where its caller and its route set
-	// no deadline.
-	maxRequestTime = 60 * time.Second
+	// no deadline. Callers may take a stream up for as long.
+	maxRequestTime = origin.Lifetime
 	// defaultBodyBytes bounds request bodies where the catalog sets no limit.
 	defaultBodyBytes = 4 << 20
 	// leavingRetryDelay is the Retry-After of a closing instance; another
