Soak: keep partitions whole and count only requests in touch

Traces: 1,757 requests at an instance that had started while the store was away were refused as no_catalog; and upstreams that were added in a partition were reached, one of several overlapping partitions ended those of the others, so that instances were taken for cut off that were half so. The platform counts machines in touch only: neither they nor the store disturbed for 3 s. New upstreams are now cut off too, a partition ends when the last one of its instance does, and requests near disturbances of the store don't count.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -161,6 +161,8 @@
 	// disturbed are the faults of instances by their entry address.
 	disturbed map[string][]*interval
 	limits    []*namedLimit
+	// storeFaults are the times in which the store was disturbed.
+	storeFaults []*interval
 	// partitions are the times in which instances reached no upstream.
 	partitions []*partitioned
 	// parts are the parts of prompts that crash engines. partCallers are the callers that send
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -81,17 +81,55 @@
 	chosen := s.faults[s.random.IntN(len(s.faults))]
 	span := 200*time.Millisecond + time.Duration(s.random.Int64N(int64(1800*time.Millisecond)))
 	s.wire.Faults[chosen.name]++
+	var ofStore *interval
+	if strings.HasPrefix(chosen.name, "store_") || chosen.name == "all_killed_store_restored" {
+		ofStore = s.disturbStore()
+	}
 	undo := chosen.begin(s, random, span)
 	if undo == nil {
+		s.releaseStore(ofStore)
 		return
 	}
 	s.pendingUndos.Add(1)
 	time.AfterFunc(span, func() {
 		defer s.pendingUndos.Done()
 		undo()
+		s.releaseStore(ofStore)
 	})
 }
 
+// disturbStore records that the store is disturbed from now on.
+func (s *soak) disturbStore() *interval {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := &interval{from: time.Now()}
+	s.storeFaults = append(s.storeFaults, fault)
+	return fault
+}
+
+// releaseStore records the end of a disturbance of the store, if there is one.
+func (s *soak) releaseStore(fault *interval) {
+	if fault == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault.to = time.Now()
+}
+
+// isInTouch reports whether neither the instance of a request nor the store was disturbed
+// from soakContact before it to its end: the platform counts only such requests.
+func (s *soak) isInTouch(e *sentRequest) bool {
+	from := e.began.Add(-soakContact)
+	return !overlaps(s.disturbed[e.address], from, e.ended) && !overlaps(s.storeFaults, from, e.ended)
+}
+
+// overlaps reports whether one of the intervals, of which those without an end go on, has a
+// moment between two times.
+func overlaps(list []*interval, from, to time.Time) bool {
+	return slices.ContainsFunc(list, func(i *interval) bool { return i.from.Before(to) && (i.to.IsZero() || i.to.After(from)) })
+}
+
 func storeFault(fault host.Fault) func(*soak, *rand.Rand, time.Duration) func() {
 	return func(s *soak, _ *rand.Rand, _ time.Duration) func() {
 		s.site.Store.SetFault(fault)
@@ -174,7 +212,7 @@
 	service, _, _ := strings.Cut(old.ID(), "-")
 	next := host.NewUpstream(s.site.Store, s.upstreamSpec(service))
 	next.CrashOn(s.parts...)
-	s.site.Upstreams = append(s.site.Upstreams, next)
+	s.site.Add(next)
 	old.Drain()
 	return nil
 }
--- a/cmd/cardload/soak_notice.go
+++ b/cmd/cardload/soak_notice.go
@@ -33,7 +33,7 @@
 	leaving := live[random.IntN(len(live))]
 	next := host.NewUpstream(s.site.Store, s.upstreamSpec(leaving.Service()))
 	next.CrashOn(s.parts...)
-	s.site.Upstreams = append(s.site.Upstreams, next)
+	s.site.Add(next)
 	leaving.SayLeaving()
 	return nil
 }
@@ -96,10 +96,5 @@
 
 // isDisturbedSince reports whether a fault affected an instance between two times.
 func (s *soak) isDisturbedSince(address string, from, to time.Time) bool {
-	for _, fault := range s.disturbed[address] {
-		if fault.from.Before(to) && (fault.to.IsZero() || fault.to.After(from)) {
-			return true
-		}
-	}
-	return false
+	return overlaps(s.disturbed[address], from, to)
 }
--- a/cmd/cardload/soak_partition.go
+++ b/cmd/cardload/soak_partition.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"cardamomcourse.example/cardamom/fakes/host"
@@ -48,21 +49,29 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for n, instance := range cut {
+			times[n].to = time.Now()
+			if s.isCutNow(instance.EntryAddress) {
+				continue
+			}
 			if err := s.site.CutOff(instance, host.NoLinkFault); err != nil {
 				s.wire.Violations = append(s.wire.Violations, err.Error())
 			}
-			times[n].to = time.Now()
 		}
 	}
 }
 
+// isCutNow reports whether a partition of an instance goes on. s.mu must be held.
+func (s *soak) isCutNow(address string) bool {
+	return slices.ContainsFunc(s.partitions, func(p *partitioned) bool { return p.address == address && p.to.IsZero() })
+}
+
 // checkPartitions checks that while some instances reach no upstream, from 3 s after that began,
 // first tries there are served two thirds as often as at the others.
 func (s *soak) checkPartitions() {
 	for _, p := range s.partitions {
 		sent, served := map[bool]int{}, map[bool]int{}
 		for _, e := range s.sent {
-			if e.takenUp != nil || e.part != "" || e.began.Sub(p.from) < soakContact || !e.ended.Before(p.to) || s.isDisturbedSince(e.address, e.began.Add(-soakContact), e.ended) {
+			if e.takenUp != nil || e.part != "" || e.began.Sub(p.from) < soakContact || !e.ended.Before(p.to) || !s.isInTouch(e) {
 				continue
 			}
 			began, isCut := s.partitionedSince(e.address, e.began, e.ended)
--- a/cmd/cardload/soak_parts.go
+++ b/cmd/cardload/soak_parts.go
@@ -79,7 +79,7 @@
 			s.site.Store.Remove("servers", upstream.ID())
 			next := host.NewUpstream(s.site.Store, s.upstreamSpec(upstream.Service()))
 			next.CrashOn(s.parts...)
-			s.site.Upstreams = append(s.site.Upstreams, next)
+			s.site.Add(next)
 		}
 		s.mu.Unlock()
 	}
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -56,8 +56,10 @@
 	StoreLink *Link
 	Upstreams []*Upstream
 	Instances []*Instance
-	folder    string
-	client    *http.Client
+	// cuts are the faults between instances and all upstreams, by the instance's source.
+	cuts   map[string]LinkFault
+	folder string
+	client *http.Client
 }
 
 // SiteOptions configure a site.
@@ -83,7 +85,7 @@
 
 // NewSite starts the fakes and the processes.
 func NewSite(options SiteOptions) (*Site, error) {
-	s := &Site{Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: RequestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &Site{cuts: make(map[string]LinkFault), Store: NewStore(), folder: options.Folder, client: &http.Client{Timeout: RequestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	s.Store.SetEra(options.Era)
 	s.Store.Put("op", "config", options.Config)
 	for _, spec := range options.Upstreams {
@@ -319,9 +321,24 @@
 	return got, nil
 }
 
+// Add adds an upstream, which instances that are cut off don't reach either.
+func (s *Site) Add(upstream *Upstream) {
+	s.Upstreams = append(s.Upstreams, upstream)
+	for source, fault := range s.cuts {
+		if upstream.link != nil {
+			// Without its filter a new connection is accepted and silent instead of hanging.
+			_ = upstream.link.Cut(source, fault)
+		}
+	}
+}
+
 // CutOff sets a fault between an instance and all upstreams that have a Link. NoLinkFault
 // ends it.
 func (s *Site) CutOff(instance *Instance, fault LinkFault) error {
+	s.cuts[instance.Source] = fault
+	if fault == NoLinkFault {
+		delete(s.cuts, instance.Source)
+	}
 	for _, upstream := range s.Upstreams {
 		if upstream.link != nil {
 			if err := upstream.link.Cut(instance.Source, fault); err != nil {
