Soak: compare streams that are taken up with new ones of the same time

New ones are now those within a second of one that is taken up, and requests near disturbances of the store don't count, as for machines in touch.

--- a/cmd/cardload/soak_versions.go
+++ b/cmd/cardload/soak_versions.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 	// soakContact how long before a request its instance must not have been disturbed.
 	soakTakenUp = 12
 	soakContact = 3 * time.Second
+	// soakNear is how near to one that is taken up a new stream has to begin to be compared.
+	soakNear = time.Second
 	// soakReturns is how often a caller comes back for the rest of a stream.
 	soakReturns = 2
 )
@@ -49,7 +52,7 @@
 		}
 	}
 	s.software = min(s.software+random.IntN(2), 4)
-	s.site.Upstreams = append(s.site.Upstreams, host.NewUpstream(s.site.Store, s.upstreamSpec("models")))
+	s.site.Add(host.NewUpstream(s.site.Store, s.upstreamSpec("models")))
 	live[random.IntN(len(live))].Drain()
 	return nil
 }
@@ -98,9 +101,10 @@
 }
 
 // checkVersions checks that no stream holds events of two versions, and that streams that
-// are taken up go on about as often as new ones begin.
+// are taken up go on about as often as new ones begin at these times.
 func (s *soak) checkVersions() {
-	began, newStreams, wentOn, returns := 0, 0, 0, 0
+	var returns []*sentRequest
+	wentOn := 0
 	for id, e := range s.sent {
 		body := e.response.Body
 		if e.takenUp != nil {
@@ -109,25 +113,33 @@
 		if versions := host.VersionsIn(body); e.answered && len(versions) > 1 {
 			s.addViolation(fmt.Sprintf("%s holds events of %s", id, strings.Join(versions, " and ")))
 		}
-		if e.kind != "/resume/" || e.part != "" || s.isDisturbedSince(e.address, e.began.Add(-soakContact), e.ended) {
-			continue
-		}
-		served := e.answered && e.response.Status == http.StatusOK
-		switch {
-		case e.takenUp == nil:
-			newStreams++
-			if served {
-				began++
-			}
-		case e.takenUp.served >= 2:
-			returns++
-			if served {
+		if e.takenUp != nil && e.takenUp.served >= 2 && s.isInTouch(e) {
+			returns = append(returns, e)
+			if e.isServed() {
 				wentOn++
 			}
 		}
 	}
-	s.wire.Returns += returns
-	if returns >= soakTakenUp && 2*wentOn*newStreams < began*returns {
-		s.addViolation(fmt.Sprintf("%d of %d streams went on, %d of %d new ones began", wentOn, returns, began, newStreams))
+	began, newStreams := 0, 0
+	for _, e := range s.sent {
+		if e.kind != "/resume/" || e.part != "" || e.takenUp != nil || !s.isInTouch(e) || !isNear(returns, e.began) {
+			continue
+		}
+		newStreams++
+		if e.isServed() {
+			began++
+		}
+	}
+	s.wire.Returns += len(returns)
+	if len(returns) >= soakTakenUp && 2*wentOn*newStreams < began*len(returns) {
+		s.addViolation(fmt.Sprintf("%d of %d streams went on, %d of %d new ones began", wentOn, len(returns), began, newStreams))
 	}
 }
+
+// isServed reports whether the caller got a success.
+func (e *sentRequest) isServed() bool { return e.answered && e.response.Status == http.StatusOK }
+
+// isNear reports whether a time is within soakNear of one of the requests.
+func isNear(requests []*sentRequest, at time.Time) bool {
+	return slices.ContainsFunc(requests, func(e *sentRequest) bool { return at.Sub(e.began).Abs() < soakNear })
+}
