--- a/coord/loop.go
+++ b/coord/loop.go
@@ -267,8 +267,8 @@
 		return
 	}
 	if !ok || known.State != upstream.State || known.Version != upstream.Version {
-		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address, "software", upstream.Version,
-			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.RegistrationSeq, "origin", origin)
+		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
+			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.RegistrationSeq, "origin", origin, "software", upstream.Version)
 	}
 	l.state.upstreams[upstream.ID] = upstream
 	l.state.history.See(upstream.Service, upstream.Version, clock.Now())
