Record a prompt as survived only where its upstream answered

Causes: an answer that came through another instance, also a failure of that instance's own, counted as a prompt that survived, which cleared the evidence against its parts; and engines that crashed in a row made an instance suspect a partition, in which it blamed none. An upstream is excused now only while the instance is partitioned, by probes, and another one is not. A probe goes to one upstream of each service first, and a plain one has to keep the connection for 30 ms, as all engines may have crashed.

--- a/conns/socket.go
+++ b/conns/socket.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -72,3 +73,22 @@
 		return Silent
 	}
 }
+
+// keepTime is how long a connection has to stay open to count as kept: a reset follows its
+// acceptance at once.
+const keepTime = 30 * time.Millisecond
+
+// Keeps reports whether a connection to the address can be opened and is not closed or reset
+// at once.
+func (p *Pool) Keeps(ctx context.Context, address string) bool {
+	c, err := p.dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(keepTime)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/front/scout.go
+++ b/front/scout.go
@@ -26,38 +26,40 @@
 	pool    *conns.Pool
 }
 
-// ProbeTargets returns some live upstreams, drawn at random. Engines go first, as they
-// answer a probe even when they are busy.
+// ProbeTargets returns some live upstreams, drawn at random: one of each service first, as
+// all of one may have crashed.
 func (p *prober) ProbeTargets() []cardamom.Upstream {
 	view := p.loop.View()
 	if view.Catalog() == nil {
 		return nil
 	}
-	var engines, plain []cardamom.Upstream
+	var first, others []cardamom.Upstream
 	for _, service := range view.Catalog().Services() {
+		var live []cardamom.Upstream
 		for _, upstream := range view.Upstreams(service.Name) {
-			switch {
-			case upstream.State != cardamom.Live:
-			case service.Engine != nil:
-				engines = append(engines, upstream.Upstream)
-			default:
-				plain = append(plain, upstream.Upstream)
+			if upstream.State == cardamom.Live {
+				live = append(live, upstream.Upstream)
 			}
 		}
+		if len(live) == 0 {
+			continue
+		}
+		rand.Shuffle(len(live), func(a, b int) { live[a], live[b] = live[b], live[a] })
+		first, others = append(first, live[0]), append(others, live[1:]...)
 	}
-	for _, list := range [][]cardamom.Upstream{engines, plain} {
-		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	}
-	all := slices.Concat(engines, plain)
+	rand.Shuffle(len(first), func(a, b int) { first[a], first[b] = first[b], first[a] })
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	all := slices.Concat(first, others)
 	return all[:min(len(all), maxProbed)]
 }
 
-// Probe reports whether an upstream answers. A plain one only has to accept a connection.
+// Probe reports whether an upstream answers. A plain one only has to accept a connection and
+// to keep it.
 func (p *prober) Probe(ctx context.Context, upstream cardamom.Upstream) bool {
 	if service, ok := p.loop.View().Catalog().Service(upstream.Service); ok && service.Engine != nil {
 		return p.engines.Answers(ctx, upstream)
 	}
-	return p.pool.Probe(ctx, upstream.Address) == conns.Listening
+	return p.pool.Keeps(ctx, upstream.Address)
 }
 
 // newScout returns the scout of an instance.
--- a/logs/words.go
+++ b/logs/words.go
@@ -171,7 +171,6 @@
 	"software":        "version of the upstream's software",
 	"software_before": "version of the software that sent the events before, in the same response",
 	"resumes":         "id of the request that brought the first event of the stream that a caller takes up",
-	"doubtful":        "whether the instance suspects that it reaches no upstream, so that a failure says nothing about one",
 	"hops":            "instances through which the request was sent",
 	"hopped":          "whether the request came from another instance",
 	"service":         "service of the upstream",
--- a/origin/book.go
+++ b/origin/book.go
@@ -30,7 +30,7 @@
 	Stream    Stream
 	Origin    Origin
 	Knowledge Knowledge
-	// At is when the stream's last event was first seen, by the teller's clock.
+	// At is when the stream began or last went on.
 	At time.Time
 }
 
--- a/relay/death.go
+++ b/relay/death.go
@@ -4,7 +4,6 @@
 	"strings"
 	"time"
 
-	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
 	"cardamomcourse.example/cardamom/pick"
@@ -20,7 +19,7 @@
 // had already got events of its answer: then it has survived the beginning.
 func (x *exchange) recordDeath(upstream *site.Upstream) {
 	noticed := clock.Now()
-	if x.ctx.Err() != nil || x.progress == hasEvents || x.othersReach([]cardamom.UpstreamID{upstream.ID}) {
+	if x.ctx.Err() != nil || x.progress == hasEvents {
 		return
 	}
 	state := x.server.Pool.Probe(x.ctx, upstream.Address)
@@ -36,8 +35,12 @@
 	}
 }
 
-// survived records that the request got the beginning of its answer.
+// survived records that the request got the beginning of its answer. Of an answer from another
+// instance that instance does: it may be its own failure.
 func (x *exchange) survived() {
+	if x.viaHop {
+		return
+	}
 	x.logParts(x.server.Parts.Survived(x.service, x.info.SharedParts, clock.Now()))
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -250,14 +250,6 @@
 		return true
 	}
 	now := time.Now()
-	if x.server.Reach.Doubtful(clock.Now()) {
-		// It says nothing about the upstream.
-		x.server.Pool.CloseIdle(upstream.Address)
-		x.unsent++
-		x.avoid(upstream.ID)
-		x.log.Info("not_sent", "request", x.info.ID, "upstream", upstream.ID, "age_ms", x.ageMS(now), "unsent", x.unsent, "doubtful", true, "reason", err)
-		return x.mayTryAgain()
-	}
 	x.server.Health.Failed(upstream.ID, health.Unreachable, now)
 	x.server.Demand.Failed(upstream.ID)
 	x.server.Pool.CloseIdle(upstream.Address)
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -22,14 +22,15 @@
 	}
 }
 
-// recordFailure records that an upstream broke a connection, unless that was another instance
-// or says nothing about the upstream.
+// recordFailure records that an upstream broke a connection, unless that was another instance.
+// That this instance suspects a partition does not excuse the upstream: several that crash in
+// a row look the same.
 func (x *exchange) recordFailure(upstream *site.Upstream, now time.Time) {
 	if x.viaHop {
 		return
 	}
 	x.avoid(upstream.ID)
-	if x.server.Reach.Doubtful(clock.Now()) {
+	if x.server.isCutOff() {
 		return
 	}
 	x.server.Health.Failed(upstream.ID, health.Broken, now)
@@ -37,6 +38,12 @@
 	x.recordDeath(upstream)
 }
 
+// isCutOff reports whether this instance reaches no upstream and another one does, so that
+// what it sees says nothing about upstreams.
+func (s *Server) isCutOff() bool {
+	return s.Reach.Partitioned() && len(hopTargets(s.Views.View(), s.Instance, nil)) > 0
+}
+
 // othersReach reports whether other instances have requests at one of the upstreams that this
 // one could not reach, and none failed.
 func (x *exchange) othersReach(suspected []cardamom.UpstreamID) bool {
