Test the control loop on machines that have just started

Cause: the tests of coord began at a fixed time 1000 s on a clock that begins with the machine, and the loops also read that clock themselves. On a machine that has run for less than 1000 s, a listing of now lies before one of the test's start and is dropped. Change: the tests begin at the present time of that clock. No check has changed.

--- a/coord/coord_internal_test.go
+++ b/coord/coord_internal_test.go
@@ -47,7 +47,9 @@
 	return e.result
 }
 
-var start = time.Unix(1000, 0)
+// start is on the clock that the loops read themselves, which begins with the machine: a
+// fixed time would lie ahead of it on a machine that has just started.
+var start = clock.Now()
 
 // newLoop returns a loop that does not run: the test calls its methods.
 func newLoop(id cardamom.InstanceID, result site.OrderResult) *Loop {
