Derive the ages of the control path from the change time

Cause: platform data counted as stale after 1.1 s whatever the size, but the interval between exchanges grows with the members (1.56 s at 195), and the coordinator's own data is up to 0.9 s old. The age of platform data follows from how soon a change has to be in force (new settings configuration_in_force_ms, leave_in_force_ms), the longest exchange interval from that age, the timeouts of members and of the coordinator from the interval.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// minExchangeInterval is the least time between two exchanges with the coordinator.
-	minExchangeInterval = 400 * time.Millisecond
-	// exchangeIntervalPerMember times the number of members is the time between
-	// two exchanges if that is longer than minExchangeInterval.
-	exchangeIntervalPerMember = 8 * time.Millisecond
-	// earlyExchangePercent is the percentage of the exchange interval after which an
-	// exchange may start early.
-	earlyExchangePercent = 12
-	// exchangeTimeout bounds an exchange; one takes a few milliseconds.
-	exchangeTimeout = 600 * time.Millisecond
 	// maxReplyBytes bounds a coordinator's reply: all upstreams and the configuration.
 	maxReplyBytes = 32 << 20
 	// peerIdleTimeout is how long an idle connection to the coordinator is kept.
@@ -58,20 +48,6 @@
 	return client
 }
 
-// ExchangeInterval returns the time between two exchanges of an instance. It grows with
-// the number of members, so that the coordinator's work stays the same.
-func ExchangeInterval(members int) time.Duration {
-	return max(minExchangeInterval, time.Duration(members)*exchangeIntervalPerMember)
-}
-
-// EarlyExchangeInterval returns the least time between two exchanges, the second of
-// which starts early.
-func EarlyExchangeInterval(members int) time.Duration {
-	return ExchangeInterval(members) * earlyExchangePercent / 100
-}
-
-func (l *Loop) exchangeInterval() time.Duration { return ExchangeInterval(len(l.state.members)) }
-
 // requestStarted makes the next exchange start early. The coordinator would evict a
 // model that it believes unused, and the unload would wait for the request to end.
 func (l *Loop) requestStarted(demand.Key) {
@@ -80,9 +56,9 @@
 
 // stepExchange starts an exchange with the coordinator if one is due.
 func (l *Loop) stepExchange(now time.Time) {
-	interval := l.exchangeInterval()
+	interval := l.timing().exchangeInterval()
 	if l.reportSoon {
-		interval = EarlyExchangeInterval(len(l.state.members))
+		interval = l.timing().earlyExchangeInterval()
 	}
 	if l.exchanging || now.Sub(l.lastExchange) < interval {
 		return
@@ -182,7 +158,8 @@
 // handleExchangeReply handles the result of an exchange.
 func (l *Loop) handleExchangeReply(address string, reply *syncpb.ExchangeReply, err error, began, now time.Time) {
 	if err != nil {
-		if l.position.coordinator != "" && now.Sub(l.lastAnswered) >= l.coordinatorTimeout() {
+		l.reportSoon = true
+		if l.position.coordinator != "" && now.Sub(l.lastAnswered) >= l.timing().coordinatorTimeout() {
 			l.logger.Warn("dependency_lost", "dependency", "coordinator", "address", address, "reason", err, "silent_ms", now.Sub(l.lastAnswered).Milliseconds())
 			l.position = position{}
 			l.noCoordinatorSince = now
@@ -218,7 +195,7 @@
 // applyExchangeReply applies the coordinator's data.
 func (l *Loop) applyExchangeReply(reply *syncpb.ExchangeReply, began time.Time) {
 	upstreamsConfirmed := began.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
-	stale := reply.GetUpstreamsAgeMs() >= staleAfter.Milliseconds()
+	stale := reply.GetUpstreamsAgeMs() >= l.timing().staleAfter().Milliseconds()
 	refreshed := l.position.stale && !stale && !reply.GetFull()
 	l.position.stale = stale
 	l.position.term, l.position.change, l.position.members = reply.GetTenure(), reply.GetChange(), reply.GetMembersVersion()
--- a/coord/follow.go
+++ b/coord/follow.go
@@ -12,33 +12,9 @@
 	"cardamomcourse.example/cardamom/table"
 )
 
-const (
-	// catalogWait is how long the platform may hold one long poll for a newer
-	// configuration. It bounds how long a silent connection goes unnoticed.
-	catalogWait = 900 * time.Millisecond
-	// upstreamInterval is the coordinator's pause between two reads of registrations.
-	upstreamInterval = 300 * time.Millisecond
-	// staleAfter is the age of the coordinator's platform data from which a member
-	// reads the platform itself.
-	staleAfter = 1100 * time.Millisecond
-	// pollCheckInterval is the time between two checks whether this instance has to
-	// read the platform itself.
-	pollCheckInterval = 100 * time.Millisecond
-	// minBackoff is the pause after a failed call to the platform. It doubles with
-	// each further failure.
-	minBackoff = 250 * time.Millisecond
-	// maxBackoff bounds that pause.
-	maxBackoff = 1500 * time.Millisecond
-	// minPollInterval is the least pause between two reads of the platform by an instance
-	// that does not coordinate.
-	minPollInterval = 600 * time.Millisecond
-	// pollIntervalPerMember times the number of members is that pause if it is
-	// longer than minPollInterval, so that many instances don't overload the platform.
-	pollIntervalPerMember = 15 * time.Millisecond
-	// maxPollInterval bounds that pause, so that a leaving upstream is still noticed
-	// in time.
-	maxPollInterval = 1200 * time.Millisecond
-)
+// pollCheckInterval is the time between two checks whether this instance has to read the
+// platform itself.
+const pollCheckInterval = 100 * time.Millisecond
 
 // pollState is what decides whether an instance has to read the platform itself.
 type pollState struct {
@@ -47,6 +23,8 @@
 	// behind means that the coordinator has a newer catalog.
 	behind   bool
 	interval time.Duration
+	// maxBackoff bounds the pause after a failed read.
+	maxBackoff time.Duration
 }
 
 // readPollState reads the poll state on the control goroutine. age returns the
@@ -54,9 +32,10 @@
 func (l *Loop) readPollState(ctx context.Context, age func(now time.Time) time.Duration) pollState {
 	answer := make(chan pollState, 1)
 	l.post(func(now time.Time) {
+		timing := l.timing()
 		answer <- pollState{
-			coordinates: l.term != nil, stale: age(now) >= staleAfter, behind: l.catalogBehind,
-			interval: min(max(minPollInterval, time.Duration(len(l.state.members))*pollIntervalPerMember), maxPollInterval),
+			coordinates: l.term != nil, stale: age(now) >= timing.staleAfter(), behind: l.catalogBehind,
+			interval: timing.pollInterval(), maxBackoff: timing.maxBackoff(),
 		}
 	})
 	select {
@@ -87,7 +66,7 @@
 		l.recordSourceResult(source, "configuration", err)
 		if err != nil {
 			l.post(func(time.Time) { l.needDocument = l.catalogBehind })
-			sleep.For(ctx, source.backoff())
+			sleep.For(ctx, source.backoff(poll.maxBackoff))
 			continue
 		}
 		l.post(func(time.Time) { l.applyCatalogRead(document, catalog, began, wait) })
@@ -130,7 +109,7 @@
 		listing, err := l.options.Upstreams.Next(ctx, 0)
 		l.recordSourceResult(source, "registrations", err)
 		if err != nil {
-			sleep.For(ctx, source.backoff())
+			sleep.For(ctx, source.backoff(poll.maxBackoff))
 			continue
 		}
 		l.post(func(now time.Time) { l.applyListing(listing, began, now) })
@@ -149,8 +128,8 @@
 
 // backoff returns the pause after a failed call, with jitter so that instances
 // do not call at the same time.
-func (s *sourceState) backoff() time.Duration {
-	longest := min(minBackoff<<min(s.failures-1, 8), maxBackoff)
+func (s *sourceState) backoff(limit time.Duration) time.Duration {
+	longest := min(minBackoff<<min(s.failures-1, 8), limit)
 	return longest/2 + rand.N(longest/2)
 }
 
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -33,8 +33,6 @@
 	// minStandbys, since instances with a takeover delay wait before they take the
 	// lease.
 	standbyPercent = 10
-	// minCoordinatorTimeout is the coordinator timeout where there are few members.
-	minCoordinatorTimeout = 1200 * time.Millisecond
 )
 
 // wireLease is the value of the lease row.
@@ -164,7 +162,7 @@
 func (l *Loop) leaseReadBackoff() time.Duration {
 	members := l.state.members
 	if len(members) <= minStandbys || l.isStandby(members) {
-		return min(leaseReadInterval<<min(l.leaseFailures, 4), maxBackoff)
+		return min(leaseReadInterval<<min(l.leaseFailures, 4), l.timing().maxBackoff())
 	}
 	return idleLeaseReadInterval
 }
@@ -209,13 +207,7 @@
 // hasCoordinator reports whether a coordinator with fresh platform data answered
 // recently.
 func (l *Loop) hasCoordinator(now time.Time) bool {
-	return !l.position.stale && now.Sub(l.lastAnswered) < l.coordinatorTimeout()
-}
-
-// coordinatorTimeout returns the age of the last answered exchange from which
-// the coordinator counts as lost.
-func (l *Loop) coordinatorTimeout() time.Duration {
-	return max(minCoordinatorTimeout, 2*l.exchangeInterval()+exchangeTimeout)
+	return !l.position.stale && now.Sub(l.lastAnswered) < l.timing().coordinatorTimeout()
 }
 
 func (l *Loop) readLease(now time.Time) {
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -61,6 +61,9 @@
 	// TakeoverDelay is how long after its start, and after losing its coordinator,
 	// an instance with little capacity leaves the lease to others.
 	TakeoverDelay time.Duration
+	// ChangeTime is how soon after the platform accepts a change, of the configuration or of
+	// an upstream that leaves, all instances have to act on it.
+	ChangeTime time.Duration
 	// Clock returns the store's monotonic clock in milliseconds and the incarnation of
 	// the store to which it belongs.
 	Clock func(now time.Time) (ms int64, incarnation uint64, ok bool)
@@ -234,7 +237,7 @@
 		}
 	}
 	if l.reportSoon {
-		wait = min(wait, EarlyExchangeInterval(len(l.state.members)))
+		wait = min(wait, l.timing().earlyExchangeInterval())
 	}
 	if l.viewChanged {
 		l.viewChanged = false
--- a/coord/need.go
+++ b/coord/need.go
@@ -26,7 +26,7 @@
 		}
 		// A coordinator whose platform data is stale still plans until another
 		// instance takes over.
-		if address := l.position.coordinator; address != "" && now.Sub(l.lastAnswered) < l.coordinatorTimeout() {
+		if address := l.position.coordinator; address != "" && now.Sub(l.lastAnswered) < l.timing().coordinatorTimeout() {
 			found <- coordinatorClient{client: l.peers.dial(address)}
 			return
 		}
--- a/coord/term.go
+++ b/coord/term.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// memberTimeout is how long an instance stays a member after its last exchange.
-	memberTimeout = 2200 * time.Millisecond
 	// maxWantTime bounds how long a model stays wanted after an Await call for it.
 	maxWantTime = 1500 * time.Millisecond
 	// memberCheckInterval is the time between two checks for members that are lost.
@@ -283,6 +281,7 @@
 // request counts to the sums over the others.
 func (t *term) checkMembers(now time.Time) {
 	var members []Member
+	memberTimeout := t.loop.timing().memberTimeout()
 	for id, m := range t.members {
 		if now.Sub(m.lastExchange) > memberTimeout {
 			t.logger.Info("member_lost", "instance", id, "silent_ms", now.Sub(m.lastExchange).Milliseconds())
--- a/front/settings.go
+++ b/front/settings.go
@@ -25,6 +25,7 @@
 	defaultLeaseMS       = 3000
 	defaultGraceMS       = 8000
 	defaultAddressTTLMS  = 2000
+	defaultChangeMS      = 2000
 	defaultRetryRatio    = 0.2
 	defaultRetryWindowMS = 10000
 	defaultRetrySlack    = 20
@@ -69,6 +70,9 @@
 	grace time.Duration
 	// addressTTL is how long callers may use a list of entry addresses.
 	addressTTL time.Duration
+	// changeTime is how soon after the platform accepts a change all instances have to act
+	// on it: the least of the times for the configuration and for upstreams that leave.
+	changeTime time.Duration
 	// retries bounds the retries of all instances together.
 	retries retry.Limits
 	// profiles sets how many replicas the models of each service get.
@@ -142,7 +146,13 @@
 	FencesChecked bool    `json:"fences_checked"`
 	GraceMS       float64 `json:"grace_ms"`
 	AddressTTLMS  float64 `json:"address_ttl_ms"`
-	Retries       struct {
+	// ConfigurationInForceMS is how soon after the operator published a configuration all
+	// instances have to act on it.
+	ConfigurationInForceMS float64 `json:"configuration_in_force_ms"`
+	// LeaveInForceMS is how soon after an upstream registered that it leaves no instance
+	// may send it requests.
+	LeaveInForceMS float64 `json:"leave_in_force_ms"`
+	Retries        struct {
 		// Ratio is the allowed number of retries for each request in the window.
 		Ratio float64 `json:"ratio"`
 		// WindowMS is the time over which requests and retries are counted.
@@ -230,7 +240,7 @@
 // Parse checks the content of a settings file. The error lists each faulty key
 // with the file name and line.
 func Parse(name string, body []byte) (*Settings, error) {
-	wire := settingsWire{LeaseMS: defaultLeaseMS, GraceMS: defaultGraceMS, AddressTTLMS: defaultAddressTTLMS, MemoryMB: defaultMemoryMB, LogLevel: defaultLogLevel}
+	wire := settingsWire{LeaseMS: defaultLeaseMS, GraceMS: defaultGraceMS, AddressTTLMS: defaultAddressTTLMS, ConfigurationInForceMS: defaultChangeMS, LeaveInForceMS: defaultChangeMS, MemoryMB: defaultMemoryMB, LogLevel: defaultLogLevel}
 	wire.Retries.Ratio, wire.Retries.WindowMS, wire.Retries.Slack = defaultRetryRatio, defaultRetryWindowMS, defaultRetrySlack
 	source, err := conf.Decode(name, body, schema, &wire)
 	if err != nil {
@@ -261,7 +271,8 @@
 		listen:      Listen{Entry: wire.Listen.Entry, Ready: wire.Listen.Ready, Addresses: wire.Listen.Addresses, Sync: wire.Listen.Sync, Metrics: wire.Listen.Metrics},
 		memoryBytes: int64(wire.MemoryMB * (1 << 20)), processorCores: wire.Processor, linkMbps: wire.LinkMbps, logLevel: wire.LogLevel,
 		lease: milliseconds(wire.LeaseMS), fencingChecked: wire.FencesChecked, grace: milliseconds(wire.GraceMS), addressTTL: milliseconds(wire.AddressTTLMS),
-		retries: retry.Limits{Ratio: wire.Retries.Ratio, Window: milliseconds(wire.Retries.WindowMS), Slack: wire.Retries.Slack},
+		changeTime: milliseconds(min(wire.ConfigurationInForceMS, wire.LeaveInForceMS)),
+		retries:    retry.Limits{Ratio: wire.Retries.Ratio, Window: milliseconds(wire.Retries.WindowMS), Slack: wire.Retries.Slack},
 	}, nil
 }
 
--- a/simul/instance.go
+++ b/simul/instance.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// changeTime is how soon changes have to be in force at all instances, which bounds the
+	// time between their exchanges.
+	changeTime = 3 * time.Second
 	// firstEventMargin, missingTTL, maxRejected, rejectionPause, fullRecheck, holdRecheck
 	// and retryAfterMargin are those of package relay and await.
 	firstEventMargin = 250 * time.Millisecond
@@ -74,7 +77,7 @@
 		i.demand.OnStart(func(demand.Key) { i.exchangeSoon() })
 	}
 	// The instances' exchanges are spread over the interval.
-	spread := coord.ExchangeInterval(len(i.play.instances)) * time.Duration(i.number) / time.Duration(len(i.play.instances))
+	spread := coord.ExchangeInterval(len(i.play.instances), changeTime) * time.Duration(i.number) / time.Duration(len(i.play.instances))
 	i.lastExchange = now
 	i.scheduleExchange(spread)
 }
@@ -94,22 +97,22 @@
 		if i.starts != starts {
 			return
 		}
-		if due := coord.ExchangeInterval(len(i.play.instances)) - now.Sub(i.lastExchange); due > 0 && i.since > 0 {
+		if due := coord.ExchangeInterval(len(i.play.instances), changeTime) - now.Sub(i.lastExchange); due > 0 && i.since > 0 {
 			// An early exchange took place meanwhile.
 			i.scheduleExchange(due)
 			return
 		}
 		i.exchange(now)
-		i.scheduleExchange(coord.ExchangeInterval(len(i.play.instances)))
+		i.scheduleExchange(coord.ExchangeInterval(len(i.play.instances), changeTime))
 	})
 }
 
 // exchangeSoon makes the next exchange start early.
 func (i *instance) exchangeSoon() {
 	starts := i.starts
-	wait := coord.EarlyExchangeInterval(len(i.play.instances)) - i.play.events.now.Sub(i.lastExchange)
+	wait := coord.EarlyExchangeInterval(len(i.play.instances), changeTime) - i.play.events.now.Sub(i.lastExchange)
 	i.play.events.after(max(wait, 0), func(now time.Time) {
-		if i.starts == starts && now.Sub(i.lastExchange) >= coord.EarlyExchangeInterval(len(i.play.instances)) {
+		if i.starts == starts && now.Sub(i.lastExchange) >= coord.EarlyExchangeInterval(len(i.play.instances), changeTime) {
 			i.exchange(now)
 		}
 	})
