Let instances lend each other credit of the retry budget

Cause: the common budget is cut into one piece an instance. At 195 instances one earns 0.077 retries a second by time and 0.05 to 0.2 by requests, which expire after 5 s, so it seldom has a whole one, while the service as a whole uses a tenth of what it may. Change: an instance that lacks credit asks three others for it, then three more (Lend). What is lent is spent at the lender at once and keeps its age, so that no restart, lost answer or new coordinator spends it twice; nothing is needed from the coordinator. Weighed: a pool at the coordinator (docs/design/14-sizes.md).

--- a/coord/loop.go
+++ b/coord/loop.go
@@ -82,6 +82,7 @@
 	Notices   *notice.Book
 	Origins   *origin.Book
 	Reach     *reach.Tracker
+	Lender    Lender
 	Logger    hclog.Logger
 }
 
--- a/logs/words.go
+++ b/logs/words.go
@@ -107,6 +107,7 @@
 	"cell":            "unit of placement decisions, which has one holder",
 	"claims":          "number of claims in the shard",
 	"count":           "number of items that the event counts",
+	"borrowed":        "credit that other instances lent for it, in retries",
 	"credit":          "retries that the instance had left for the service",
 	"data_centre":     "data centre of the instance",
 	"dependency":      "dependency of the process: platform or coordinator",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -75,6 +75,12 @@
 	t.Add(fmt.Sprintf("retries_total{service=%q,allowed=%q}", service, strconv.FormatBool(allowed)), 1)
 }
 
+// CountBorrowing counts the times that other instances were asked for credit of the retry
+// budget, by whether they lent enough.
+func (t *Tally) CountBorrowing(enough bool) {
+	t.Add(fmt.Sprintf("retry_credit_asked_total{enough=%q}", strconv.FormatBool(enough)), 1)
+}
+
 // CountPermit counts the answer to a request for a permit: granted, refused, later, alone
 // (by this instance's own share) or unanswered.
 func (t *Tally) CountPermit(answer string) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -151,20 +151,37 @@
 // allowRetry reports whether the retry budget allows to send the request again, to an
 // upstream or through an instance.
 func (x *exchange) allowRetry(to string) bool {
-	now := clock.Now()
-	x.server.shareBudget(now)
-	decision := x.server.Budget.AllowRetry(x.service, now)
+	x.server.shareBudget(clock.Now())
+	borrowed := x.borrowCredit()
+	decision := x.server.Budget.AllowRetry(x.service, clock.Now())
 	x.server.Metrics.CountRetry(string(x.service), decision.Allowed)
 	switch {
 	case decision.Allowed:
 		x.log.Info("sent_again", "request", x.info.ID, "upstream", to, "service", x.service, "sends", x.sends, "runs", x.runs, "rejected", x.rejected,
-			"credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
+			"credit", fmt.Sprintf("%.2f", decision.Credit), "borrowed", fmt.Sprintf("%.2f", borrowed), "members", decision.Members)
 	case decision.Changed:
 		x.log.Info("retry_budget_spent", "service", x.service, "credit", fmt.Sprintf("%.2f", decision.Credit), "members", decision.Members)
 	}
 	return decision.Allowed
 }
 
+// borrowCredit asks other instances for the credit that the service lacks for a retry, and
+// returns how much they lent.
+func (x *exchange) borrowCredit() float64 {
+	s := x.server
+	missing := s.Budget.Missing(x.service, clock.Now())
+	if missing <= 0 {
+		return 0
+	}
+	credits := s.Lenders.BorrowCredit(x.ctx, x.service, missing)
+	s.Metrics.CountBorrowing(s.Budget.Receive(x.service, credits, clock.Now()))
+	sum := 0.0
+	for _, c := range credits {
+		sum += c.Amount()
+	}
+	return sum
+}
+
 // endIfOver ends a request whose deadline has come or whose caller has
 // disconnected, or that has not run when the instance closes. It reports whether
 // it did.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -125,6 +125,11 @@
 	Permit(ctx context.Context, need coord.PermitNeed) coord.PermitResult
 }
 
+// Lenders lend credit of the retry budget.
+type Lenders interface {
+	BorrowCredit(ctx context.Context, service cardamom.ServiceID, missing float64) []retry.Credit
+}
+
 // Metrics records the outcomes of requests and the durations of their stages.
 type Metrics interface {
 	CountRequest(kind, outcome, reason string)
@@ -133,6 +138,9 @@
 	CountResponse(kind, framing string, cut bool)
 	// CountRetry counts a retry by service and by whether the budget allowed it.
 	CountRetry(service string, allowed bool)
+	// CountBorrowing counts the times that other instances were asked for credit of the
+	// retry budget, by whether they lent enough.
+	CountBorrowing(enough bool)
 	// CountResumption counts a stream that goes on: within its response, or after its
 	// caller came back.
 	CountResumption(by string)
@@ -170,6 +178,7 @@
 	Limits     *quota.Book
 	Notices    *notice.Book
 	Permits    Permits
+	Lenders    Lenders
 	// Alone permits requests to upstreams with a rate limit while no coordinator
 	// answers.
 	Alone   *quota.Share
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -8,11 +8,18 @@
 // requests and however often they started again. The other half of the window is for
 // requests that instances read late and retries that reach upstreams late.
 //
+// Each of many instances earns less than a whole retry in that time. One that lacks credit
+// for a retry asks some others for it: what they lend is spent there, keeps the time at
+// which it was earned, and is lost if the answer is.
+//
 // # Usage
 //
 //	budget := retry.New(retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, rand.Float64())
 //	budget.SetMembers(members, confirmed, now)
 //	budget.CountRequest(service, now)
+//	if missing := budget.Missing(service, now); missing > 0 {
+//	    budget.Receive(service, credits, now) // what others lent with Lend
+//	}
 //	if budget.AllowRetry(service, now).Allowed { /* send again */ }
 package retry
 
@@ -82,6 +89,8 @@
 	spent  window
 	// refusing means that the last retry was refused.
 	refusing bool
+	// askAfter is from when on other instances may be asked for credit.
+	askAfter time.Time
 }
 
 // Decision is the budget's answer to a retry.
@@ -133,7 +142,7 @@
 	defer b.mu.Unlock()
 	b.accrue(now)
 	a := b.account(service, now)
-	credit := b.slack.sum() + a.earned.sum() - a.spent.sum()
+	credit := b.credit(a)
 	decision := Decision{Allowed: credit >= 1-rounding, Credit: credit, Members: b.sharing()}
 	decision.Changed = a.refusing == decision.Allowed
 	a.refusing = !decision.Allowed
--- a/retry/window.go
+++ b/retry/window.go
@@ -23,6 +23,15 @@
 // add adds to the current bucket.
 func (w *window) add(value float64) { w.values[w.bucket%buckets] += value }
 
+// addAt adds to the bucket with a number, or to the current one if that is earlier. What
+// belongs to an expired bucket is dropped.
+func (w *window) addAt(bucket int64, value float64) {
+	bucket = min(bucket, w.bucket)
+	if bucket > w.bucket-buckets {
+		w.values[bucket%buckets] += value
+	}
+}
+
 // raise sets the current bucket to the value if that is greater.
 func (w *window) raise(value float64) {
 	w.values[w.bucket%buckets] = max(w.values[w.bucket%buckets], value)
@@ -44,11 +53,12 @@
 	return greatest
 }
 
-// oldestFirst returns the indices of the values in the order of their buckets.
-func (w *window) oldestFirst() iter.Seq[int] {
-	return func(yield func(int) bool) {
-		for age := int64(1); age <= buckets; age++ {
-			if !yield(int((w.bucket + age) % buckets)) {
+// oldestFirst returns the indices of the values in the order of their buckets, and how many
+// buckets ago each was the current one.
+func (w *window) oldestFirst() iter.Seq2[int, int] {
+	return func(yield func(int, int) bool) {
+		for age := buckets - 1; age >= 0; age-- {
+			if !yield(int((w.bucket-int64(age)+buckets)%buckets), age) {
 				return
 			}
 		}
--- a/simul/exchange.go
+++ b/simul/exchange.go
@@ -123,6 +123,9 @@
 		x.decide(now)
 		return
 	}
+	if x.sends > 0 && x.borrow(e, now) {
+		return
+	}
 	if x.sends > 0 && !x.instance.budget.AllowRetry(service, now).Allowed {
 		x.refuse("retry_budget", shortRetryAfter)
 		return
--- a/simul/play.go
+++ b/simul/play.go
@@ -34,15 +34,17 @@
 	loadStream = iota + 1
 	choiceStream
 	faultStream
+	lendStream
 )
 
 // Option changes a play.
 type Option func(p *play)
 
 // mechanisms are those that can be switched off: prompts held back, early exchanges,
-// urgent requests first at engines, permits for engines with a rate limit, and regard for
-// engines that say that they leave or ask for a wait.
-var mechanisms = []string{"hold", "early", "priority", "permits", "notices"}
+// urgent requests first at engines, permits for engines with a rate limit, regard for
+// engines that say that they leave or ask for a wait, and credit for retries that other
+// instances lend.
+var mechanisms = []string{"hold", "early", "priority", "permits", "notices", "lend"}
 
 // Mechanisms returns the names of the mechanisms that Without switches off.
 func Mechanisms() string { return strings.Join(mechanisms, ", ") }
@@ -73,6 +75,7 @@
 	spec        *site.EngineSpec
 	choices     *rand.Rand
 	faults      *rand.Rand
+	lending     *rand.Rand
 }
 
 // Play plays a scenario with a seed.
@@ -80,7 +83,7 @@
 	p := &play{
 		scenario: s, events: &queue{now: time.Unix(1_000_000, 0)}, without: make(map[string]bool), profile: plan.DefaultProfile,
 		engines: make(map[cardamom.UpstreamID]*engine), result: &Result{},
-		choices: rand.New(rand.NewPCG(seed, choiceStream)), faults: rand.New(rand.NewPCG(seed, faultStream)),
+		choices: rand.New(rand.NewPCG(seed, choiceStream)), faults: rand.New(rand.NewPCG(seed, faultStream)), lending: rand.New(rand.NewPCG(seed, lendStream)),
 	}
 	for _, option := range options {
 		option(p)
