Prove that no stream goes on at another version after all instances were killed

The operators' report: two versions in service, or the servers of the old one had just left, when all instances were killed; callers took streams up, and the text was joined. All take-ups are refused with 503 and not run where a second version was ever listed; with a single version all go on, which the first case checks. What could have gone on at the right version and didn't: all of them, as the knowledge of who began a stream ends with the instances.

--- a/proof/versions_test.go
+++ b/proof/versions_test.go
@@ -23,9 +23,13 @@
 	engine := func(id, version string) host.UpstreamSpec {
 		return host.UpstreamSpec{ID: id, Service: "models", DataCentre: "x", Models: []string{"m1"}, Slots: 16, LoadTime: 100 * time.Millisecond, Version: version}
 	}
+	return startVersionsOf(3, engine("i-1", "v1"), engine("i-2", "v2"), engine("i-3", "v1"), engine("i-4", "v2"))
+}
+
+// startVersionsOf starts instances before upstreams and waits until all are members.
+func startVersionsOf(instances int, upstreams ...host.UpstreamSpec) *host.Site {
 	s, err := host.NewSite(host.SiteOptions{
-		Program: filepath.Join(programs, "cardfront"), Folder: GinkgoT().TempDir(), Instances: 3, Config: host.Config(1, frontModels),
-		Upstreams: []host.UpstreamSpec{engine("i-1", "v1"), engine("i-2", "v2"), engine("i-3", "v1"), engine("i-4", "v2")},
+		Program: filepath.Join(programs, "cardfront"), Folder: GinkgoT().TempDir(), Instances: instances, Config: host.Config(1, frontModels), Upstreams: upstreams,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Close)
@@ -64,13 +68,18 @@
 
 // takeUp takes a stream up at another instance after what the caller has of it.
 func takeUp(s *host.Site, id, resumes, address, has string) host.Response {
+	response, err := tryTakeUp(s, id, resumes, address, has)
+	Expect(err).NotTo(HaveOccurred())
+	return response
+}
+
+// tryTakeUp is takeUp at an instance that may not accept connections yet.
+func tryTakeUp(s *host.Site, id, resumes, address, has string) (host.Response, error) {
 	ids := eventID.FindAllStringSubmatch(has, -1)
 	Expect(ids).NotTo(BeEmpty(), has)
-	response, err := s.Send(context.Background(), host.Request{
+	return s.Send(context.Background(), host.Request{
 		ID: id, Path: "/resume/x", Model: "m1", Address: address, Resumes: resumes, LastEventID: ids[len(ids)-1][1],
 	})
-	Expect(err).NotTo(HaveOccurred())
-	return response
 }
 
 var _ = Describe("streams before engines of two software versions", func() {
