--- a/logs/words.go
+++ b/logs/words.go
@@ -12,6 +12,7 @@
 	"claims_unreadable":     "stored claims could not be read",
 	"configuration_ignored": "a published configuration is invalid; the previous one stays in force",
 	"coordinator_replaced":  "another instance took the lease from the coordinator that this instance followed",
+	"credit_not_lent":       "another instance could not be asked for credit of the retry budget",
 	"dependency_back":       "a lost dependency answers again",
 	"dependency_lost":       "a dependency stopped answering",
 	"document_not_sent":     "the configuration could not be compressed for another instance",
