Log a list of upstreams in one line

Cause: each instance logged each upstream that it learned of. At its start, and whenever all instances get the whole list, that is one line an upstream and instance. Change: changes that an instance learns at once are one line, upstreams_changed with their number, if there are more than eight; the coordinator still logs each, and fewer are logged one by one. Test: coord/listing_internal_test.go. Ruled out: a lower level, which would hide single changes.

--- a/coord/loop.go
+++ b/coord/loop.go
@@ -138,7 +138,9 @@
 	// the platform and asks the coordinator for it.
 	needDocument bool
 	viewChanged  bool
-	ctx          context.Context
+	// changes are those of upstreams that are not logged yet.
+	changes []upstreamChange
+	ctx     context.Context
 }
 
 // position is how much of a coordinator's state an instance has received.
@@ -240,6 +242,7 @@
 	if l.reportSoon {
 		wait = min(wait, l.timing().earlyExchangeInterval())
 	}
+	l.logChanges()
 	if l.viewChanged {
 		l.viewChanged = false
 		view := l.state.view()
@@ -271,8 +274,7 @@
 		return
 	}
 	if !ok || known.State != upstream.State || known.Version != upstream.Version {
-		l.logger.Info("upstream_changed", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
-			"leaving", upstream.State == cardamom.Leaving, "beat", upstream.RegistrationSeq, "origin", origin, "software", upstream.Version)
+		l.changes = append(l.changes, upstreamChange{upstream, origin})
 	}
 	l.state.upstreams[upstream.ID] = upstream
 	l.state.history.See(upstream.Service, upstream.Version, clock.Now())
