--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -62,7 +62,7 @@
 	CloseEarly: true, Hang: true, Full: true, Misdirected: true, UnmarkedRefusal: true, EndlessRefusal: true, StalledRefusal: true,
 }
 
-// Disconnects returns how many hanging requests ended because the client disconnected.
+// Disconnects returns how many hanging or trickling requests ended because the client disconnected.
 func (u *Upstream) Disconnects() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -160,7 +160,7 @@
 		return
 	}
 	if r.Header.Get("Model") != "" {
-		u.stream(behaviour, w, r.Header.Get("Last-Event-Id"))
+		u.stream(behaviour, w, r.Header.Get("Last-Event-Id"), r.Context().Done())
 		return
 	}
 	_, _ = io.WriteString(w, "whole answer to "+id)
@@ -207,19 +207,24 @@
 }
 
 // stream sends the events after the last one that the client received, one by one,
-// and breaks off in the third of them for the behaviour Cut.
-func (u *Upstream) stream(behaviour Behaviour, w http.ResponseWriter, lastEventID string) {
+// and breaks off in the third of them for the behaviour Cut. gone is closed when the client
+// is gone.
+func (u *Upstream) stream(behaviour Behaviour, w http.ResponseWriter, lastEventID string, gone <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	after := 0
 	if _, err := fmt.Sscan(lastEventID, &after); err != nil {
 		after = 0
 	}
 	for n := after + 1; n <= streamEvents; n++ {
-		if u.spec.EventPause > 0 && n > after+1 {
+		pause := u.spec.EventPause
+		if behaviour == Slow {
+			pause = slowPause
+		}
+		if pause > 0 && n > after+1 {
 			select {
 			case <-u.closed:
 				panic(http.ErrAbortHandler)
-			case <-time.After(u.spec.EventPause):
+			case <-time.After(pause):
 			}
 		}
 		if behaviour == Cut && n == after+3 {
@@ -229,6 +234,27 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, u.piece(n))
 		w.(http.Flusher).Flush()
+		if behaviour == Trickle {
+			u.trickle(w, gone)
+		}
+	}
+}
+
+// trickle writes a byte now and then until the client is gone, and breaks off.
+func (u *Upstream) trickle(w http.ResponseWriter, gone <-chan struct{}) {
+	for {
+		select {
+		case <-u.closed:
+			panic(http.ErrAbortHandler)
+		case <-gone:
+			u.mu.Lock()
+			u.disconnects++
+			u.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		case <-time.After(tricklePause):
+			_, _ = io.WriteString(w, ":")
+			w.(http.Flusher).Flush()
+		}
 	}
 }
 
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -74,6 +74,10 @@
 	StalledRefusal Behaviour = "stalled-refusal"
 	// EndlessTail runs the request and sends bytes without end after a whole answer.
 	EndlessTail Behaviour = "endless-tail"
+	// Slow pauses for slowPause before each further event of a stream.
+	Slow Behaviour = "slow"
+	// Trickle sends one event of a stream and then a byte every tricklePause, without end.
+	Trickle Behaviour = "trickle"
 	// Misdirected answers 421: the upstream doesn't have the model, or the request
 	// is meant for another upstream.
 	Misdirected Behaviour = "misdirected"
@@ -83,8 +87,14 @@
 	Crash Behaviour = "crash"
 )
 
-// streamEvents is how many events a stream has.
-const streamEvents = 4
+const (
+	// streamEvents is how many events a stream has.
+	streamEvents = 4
+	// slowPause is the pause of Slow, longer than upstreams usually take.
+	slowPause = 700 * time.Millisecond
+	// tricklePause is the time between two bytes of Trickle.
+	tricklePause = 20 * time.Millisecond
+)
 
 // Run is one request that an upstream began to run.
 type Run struct {
