Coordinate on while leaving if the store doesn't answer

Cause: a coordinator that was asked to stop ended its term at once, also while the store was away, so that nobody could take the lease until the store was back. Change: while its last renewal has failed, a leaving coordinator keeps its term and goes on renewing; it releases the lease with the first renewal that succeeds, or ends with its process. It takes no lease again. Where engines don't check fencing tokens it still orders only while its lease is valid.

--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -129,11 +129,11 @@
 	if l.term != nil && !l.lease.Held() {
 		l.endTerm("lease lost")
 	}
-	if l.leaseCallInFlight || l.leaving {
+	if l.leaseCallInFlight || l.leaving && (l.term == nil || !l.releaseLater) {
 		return
 	}
 	if l.term != nil && l.shouldYield() {
-		l.yieldLease(now)
+		l.releaseLease(l.ctx, "partitioned", now, l.logNotReleased)
 		return
 	}
 	switch l.lease.Next(now) {
@@ -297,6 +297,12 @@
 			l.verifyLeaseWrite(began)
 			return
 		}
+		if l.term != nil && l.releaseLater {
+			// The store is back.
+			l.releaseLater = false
+			l.releaseLease(l.ctx, "leaving", now, l.logNotReleased)
+			return
+		}
 		if l.term == nil && !l.leaving {
 			if fresh {
 				l.state.history.Start(began)
@@ -335,24 +341,48 @@
 	return lease.Row{Holder: l.options.ID, Address: l.options.SyncAddress, Released: true, Renewed: l.leaseClock(now)}
 }
 
-// Leave releases the lease, so that another instance can take it at once.
+// releaseLease ends the term and releases the lease for another instance. done gets the
+// result of the write.
+func (l *Loop) releaseLease(ctx context.Context, reason string, now time.Time, done func(err error)) {
+	expect := l.lease.Version()
+	l.endTerm(reason)
+	l.lease.Invalidate()
+	l.noCoordinatorSince = now
+	value := l.encodeLease(l.releasedRow(now))
+	l.leaseCallInFlight, l.lastLeaseCall = true, now
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+		_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
+		l.post(func(time.Time) { l.leaseCallInFlight = false })
+		done(err)
+	}()
+}
+
+// logNotReleased logs that the lease could not be released.
+func (l *Loop) logNotReleased(err error) {
+	if err != nil {
+		l.logger.Warn("lease_not_released", "reason", err)
+	}
+}
+
+// Leave releases the lease, so that another instance can take it at once. While the store
+// doesn't answer nobody could: then the instance coordinates until it does, or until the
+// process ends.
 func (l *Loop) Leave(ctx context.Context) error {
 	done := make(chan error, 1)
 	l.post(func(now time.Time) {
 		l.leaving = true
 		l.lastExchange = time.Time{}
-		if l.term == nil {
+		switch {
+		case l.term == nil:
 			done <- nil
-			return
+		case l.lease.InOutage():
+			l.releaseLater = true
+			done <- nil
+		default:
+			l.releaseLease(ctx, "leaving", now, func(err error) { done <- err })
 		}
-		expect := l.lease.Version()
-		l.endTerm("leaving")
-		l.lease.Invalidate()
-		value := l.encodeLease(l.releasedRow(now))
-		go func() {
-			_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
-			done <- err
-		}()
 	})
 	select {
 	case err := <-done:
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -130,6 +130,9 @@
 	// was not believed until then; zero if there is none.
 	askAgainAt time.Time
 	leaving    bool
+	// releaseLater means that this instance leaves and releases the lease when the store
+	// answers.
+	releaseLater bool
 	// catalogBehind means that the coordinator has a newer catalog.
 	catalogBehind bool
 	// coordinatorCatalog is the version of the coordinator's catalog.
--- a/coord/partition.go
+++ b/coord/partition.go
@@ -1,12 +1,10 @@
 package coord
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
-	"cardamomcourse.example/cardamom/table"
 )
 
 // PartitionChanged makes the next exchange start early: other instances pass on what this one
@@ -23,27 +21,6 @@
 	})
 }
 
-// yieldLease releases the lease for an instance that reaches engines.
-func (l *Loop) yieldLease(now time.Time) {
-	expect := l.lease.Version()
-	l.endTerm("partitioned")
-	l.lease.Invalidate()
-	l.noCoordinatorSince = now
-	value := l.encodeLease(l.releasedRow(now))
-	l.leaseCallInFlight, l.lastLeaseCall = true, now
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, exchangeTimeout)
-		defer cancel()
-		_, err := l.options.Table.Commit(ctx, table.Put(leaseKey, expect, value))
-		l.post(func(time.Time) {
-			l.leaseCallInFlight = false
-			if err != nil {
-				l.logger.Warn("lease_not_released", "reason", err)
-			}
-		})
-	}()
-}
-
 // countsMiss reports whether a report that an engine missed counts against the engine: only
 // if another upstream has answered since the first one that it missed, as otherwise this
 // instance may be the one that reaches nothing. It asks another engine to find out.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -264,6 +264,10 @@
 // example without an answer from the store.
 func (s *State) RecordOutage(now time.Time) { s.lastOutage = now }
 
+// InOutage reports whether the last write of the holder failed other than by a conflict, so
+// that nobody else can take the lease for now.
+func (s *State) InOutage() bool { return s.held && s.lastOutage.After(s.lastRenewal) }
+
 // MayOrder reports whether the holder may send orders. Where engines don't check fencing
 // tokens, the successor of a holder that released the lease sends none until a lease's
 // duration after the release, so that the two do not take turns at sending orders.
