Let few instances read the lease while the store doesn't answer

Cause: once the lease has expired every instance tried to read its row each 0.35 s, whether standby or not and without a pause after failures, and again with each exchange that was answered by an instance that doesn't coordinate. Change: only standbys read a free lease often, at most each 0.7 s after a failure; others each 2 s, up to 8 s after failures. Only the answer of the coordinator that was followed makes a read due at once.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -171,7 +171,9 @@
 		l.adoptState(reply, began)
 		followed := l.position.coordinator == address
 		l.position = position{}
-		l.lastLeaseCall = time.Time{}
+		if followed {
+			l.lastLeaseCall = time.Time{}
+		}
 		if next := reply.GetCoordinator(); next != "" && next != address && next != l.options.SyncAddress {
 			l.position.coordinator = next
 			l.lastExchange = time.Time{}
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -26,6 +26,9 @@
 	// idleLeaseReadInterval is the time between two reads of the lease by an
 	// instance that has no coordinator and is not a standby.
 	idleLeaseReadInterval = 2 * time.Second
+	// maxIdleFailures bounds by how many times that interval such an instance's reads are
+	// further apart after failed ones.
+	maxIdleFailures = 3
 	// minStandbys is the least number of standbys, the instances that are the first
 	// to take the lease.
 	minStandbys = 4
@@ -142,7 +145,7 @@
 		case !l.mayTake(now):
 		case now.Sub(l.lastLeaseRead) < 2*leaseReadInterval:
 			l.writeLease(now)
-		case now.Sub(l.lastLeaseCall) >= leaseReadInterval:
+		case now.Sub(l.lastLeaseCall) >= l.freeLeaseBackoff():
 			// The row may have been renewed since it was read.
 			l.readLease(now)
 		}
@@ -160,11 +163,25 @@
 // leaseReadBackoff returns the time between two reads of the lease. Where there
 // are many members only the standbys read it often; the others read it rarely.
 func (l *Loop) leaseReadBackoff() time.Duration {
-	members := l.state.members
-	if len(members) <= minStandbys || l.isStandby(members) {
+	if l.readsOften() {
 		return min(leaseReadInterval<<min(l.leaseFailures, 4), l.timing().maxBackoff())
 	}
-	return idleLeaseReadInterval
+	return idleLeaseReadInterval * time.Duration(1+min(l.leaseFailures, maxIdleFailures))
+}
+
+// freeLeaseBackoff is leaseReadBackoff while the lease is free, so that a standby takes it
+// soon after the store answers again.
+func (l *Loop) freeLeaseBackoff() time.Duration {
+	if l.readsOften() {
+		return leaseReadInterval << min(l.leaseFailures, 1)
+	}
+	return l.leaseReadBackoff()
+}
+
+// readsOften reports whether this instance is one of those that read the lease often while
+// there is no coordinator.
+func (l *Loop) readsOften() bool {
+	return len(l.state.members) <= minStandbys || l.isStandby(l.state.members)
 }
 
 // weak reports whether this instance leaves the lease to others.
