Let requests wait for the first catalog of an instance that starts

Cause: an instance without a catalog refused at once, also in the first tenth of a second after its start. Callers keep addresses and come back as soon as a connection is accepted. The catalog came 78 ms after the start (median of 198; 138 ms at most). Change: for half a second after its start an instance lets requests wait for the catalog; later it refuses at once as before. Ruled out: the store, which answered all of them in time.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,7 @@
 	"cardamomcourse.example/cardamom/reach"
 	"cardamomcourse.example/cardamom/retry"
 	"cardamomcourse.example/cardamom/site"
+	"cardamomcourse.example/cardamom/sleep"
 )
 
 const (
@@ -53,6 +54,9 @@
 	leavingRetryDelay = 20 * time.Millisecond
 	// defaultRetryDelay is the Retry-After of refusals for a temporary reason.
 	defaultRetryDelay = 400 * time.Millisecond
+	// catalogGrace is how long after its start an instance lets requests wait for its first
+	// catalog. The platform or another instance answers within a tenth of a second.
+	catalogGrace = 500 * time.Millisecond
 )
 
 // RequestInfo is what the headers of a caller's request state.
@@ -204,11 +208,26 @@
 	// hopAvoided are the instances that get no requests of this one until a time.
 	hopMu      sync.Mutex
 	hopAvoided map[string]time.Time
+	// started is when the server was made.
+	started time.Time
 }
 
 // New returns a server.
 func New(options Options) *Server {
-	return &Server{Options: options, availability: newAvailability(), hopAvoided: make(map[string]time.Time)}
+	return &Server{Options: options, availability: newAvailability(), hopAvoided: make(map[string]time.Time), started: clock.Now()}
+}
+
+// awaitCatalog returns the view. While the instance starts it waits a moment for its first
+// catalog.
+//
+// It answers callers that come back to all instances at once after these were killed: a
+// refusal costs them one of their few returns, and the catalog is there before they are.
+func (s *Server) awaitCatalog(ctx context.Context) *coord.View {
+	view := s.Views.View()
+	for view.Catalog() == nil && clock.Now().Sub(s.started) < catalogGrace && sleep.For(ctx, recheckInterval) {
+		view = s.Views.View()
+	}
+	return view
 }
 
 // ServeHTTP implements http.Handler.
@@ -226,7 +245,7 @@
 	if x.refuseIfClosing() {
 		return
 	}
-	view := s.Views.View()
+	view := s.awaitCatalog(r.Context())
 	if view.Catalog() == nil {
 		x.refuse("no_catalog", defaultRetryDelay)
 		return
