Don't order after a freeze because a renewal failed meanwhile

Cause: where engines check fencing tokens, a coordinator whose last renewal failed goes on for 1.5 s after the failure, since nobody can take the lease while the store is away. A renewal that was in flight when the process was frozen fails when it wakes, and counted as an outage from then on, though another instance had taken the lease long ago. Change: a failed write counts as an outage at most 1.5 s after it began. Test: coord/leave_internal_test.go, which fails on the code before; an outage of the store is as before.

--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -28,6 +28,8 @@
 	// maxIdleFailures bounds by how many times that interval such an instance's reads are
 	// further apart after failed ones.
 	maxIdleFailures = 3
+	// maxWriteTime is longer than any write of the lease takes before it fails.
+	maxWriteTime = 1500 * time.Millisecond
 	// minStandbys is the least number of standbys, the instances that are the first
 	// to take the lease.
 	minStandbys = 4
@@ -331,14 +333,24 @@
 		l.lastLeaseCall = time.Time{}
 	case errors.Is(err, table.ErrOutcomeUnknown):
 		// The write may have succeeded; reading the row shows it.
-		l.lease.RecordOutage(now)
+		l.lease.RecordOutage(outageTime(began, now))
 		l.verifyLeaseWrite(began)
 	default:
-		l.lease.RecordOutage(now)
+		l.lease.RecordOutage(outageTime(began, now))
 		l.logger.Warn("lease_not_written", "reason", err, "valid", l.lease.Valid(now))
 	}
 }
 
+// outageTime returns when a write that began at a time and failed has failed. One that took
+// longer than any call takes was in flight while this instance was frozen, so that another
+// one may have taken the lease since.
+func outageTime(began, now time.Time) time.Time {
+	if latest := began.Add(maxWriteTime); now.After(latest) {
+		return latest
+	}
+	return now
+}
+
 // verifyLeaseWrite reads the row after a write that got no answer. The write
 // succeeded if the row names this instance and has a newer version.
 func (l *Loop) verifyLeaseWrite(began time.Time) {
--- a/coord/leave_internal_test.go
+++ b/coord/leave_internal_test.go
@@ -82,3 +82,19 @@
 		Expect(store.committed).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a coordinator whose renewal gets no answer", func() {
+	DescribeTable("goes on ordering",
+		func(answered time.Duration, expected bool) {
+			l := newLoop("i-1", site.OrderAccepted)
+			l.options.Table = rows{committed: make(chan []byte, 1)}
+			l.becomeCoordinator()
+			began := start.Add(2 * time.Second)
+			now := began.Add(answered)
+			l.leaseWritten(0, errors.New("no answer"), began, now)
+			Expect(l.lease.MayOrder(now.Add(time.Second), true)).To(Equal(expected))
+		},
+		Entry("while the store is away, as nobody can take the lease", time.Second, true),
+		Entry("not after it was frozen meanwhile, when another may have taken it", 8*time.Second, false),
+	)
+})
