--- a/review/standin/fronts.go
+++ b/review/standin/fronts.go
@@ -31,9 +31,11 @@
 	entry    string
 	ready    string
 	sync     string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	done     chan struct{}
+	// toStore is the process's path to the store.
+	toStore *path
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
 }
 
 // site is a small deployment: the system's processes, and the stand-ins of its platform.
@@ -59,6 +61,7 @@
 		f := &front{name: fmt.Sprintf("front-%s-%d", zones[n%len(zones)], n/len(zones)+1)}
 		f.settings, f.log = filepath.Join(folder, f.name+".jsonc"), filepath.Join(folder, f.name+".log")
 		f.entry, f.ready, f.sync = freeAddress(), freeAddress(), freeAddress()
+		f.toStore = newPath(s.store.address)
 		s.fronts = append(s.fronts, f)
 	}
 	var seeds []string
@@ -71,7 +74,7 @@
 		fields := map[string]any{
 			"nodeName": f.name, "ip": "127.0.0.1", "zone": zones[n%len(zones)], "seedNodes": seeds, "internalPorts": []int{metrics, metrics},
 			"limits":   map[string]any{"memoryMb": memoryMB, "cpuShare": 0.4, "linkMbps": 1000.0},
-			"platform": map[string]any{"address": s.store.address},
+			"platform": map[string]any{"address": f.toStore.address},
 			"listen":   map[string]any{"front": f.entry, "ready": f.ready, "control": f.sync, "directory": freeAddress()},
 			"bounds": map[string]any{
 				"leaseMs": 3000, "fencingEnforced": true, "graceS": graceS, "configApplyMs": 2000, "drainMs": 2000,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(trouble bool) []string{
 	"late-extra": lateExtra,
 	"sigterm":    sigterm,
+	"two-givers": twoGivers,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -77,9 +77,11 @@
 		"service": r.service, "address": r.address, "zone": "psyrri-hall", "version": "v1", "state": "ready",
 		"coldRemainingMs": 0, "seq": seq, "born": r.born,
 	}
+	r.mu.Lock()
 	for name, value := range r.entry {
 		entry[name] = value
 	}
+	r.mu.Unlock()
 	s.put("servers", r.id, entry)
 }
 
@@ -121,6 +123,13 @@
 	}
 }
 
+// setEntry changes a part of the runner's entry.
+func (r *runner) setEntry(name string, value any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entry[name] = value
+}
+
 // ran records that the runner begins to work on a request.
 func (r *runner) ran(q *asked) {
 	r.mu.Lock()
