--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -19,6 +19,8 @@
 	header   map[string]string
 	body     string
 	deadline time.Duration
+	// afterSend, unless nil, is what the client does once it has sent the request.
+	afterSend func(c net.Conn)
 }
 
 // response is what the client got.
@@ -80,6 +82,9 @@
 	if _, err := io.WriteString(c, q.text()); err != nil {
 		return response{err: err}
 	}
+	if q.afterSend != nil {
+		q.afterSend(c)
+	}
 	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: q.method})
 	if err != nil {
 		return response{err: err}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"late-extra": lateExtra,
 	"sigterm":    sigterm,
 	"two-givers": twoGivers,
+	"half-close": halfClose,
 }
 
 func main() {
