--- a/review/standin/fronts.go
+++ b/review/standin/fronts.go
@@ -112,10 +112,11 @@
 }
 
 // freeAddress returns an address outside the range from which the system draws the ports of
-// connections, so that it is still free when a process listens there.
+// connections, so that it is still free when a process listens there. Cases that run at the
+// same time mostly use other ports.
 func freeAddress() string {
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000))
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+os.Getpid()%40*250+rand.IntN(250))
 		if given[address] {
 			continue
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"sigterm":    sigterm,
 	"two-givers": twoGivers,
 	"half-close": halfClose,
+	"crashing":   crashing,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -37,6 +37,9 @@
 	mu sync.Mutex
 	// runs counts the runs of each request.
 	runs map[string]int
+	// listener is closed and open has no connections while the runner is down.
+	listener net.Listener
+	open     map[net.Conn]bool
 }
 
 // link is a connection to a runner.
@@ -47,47 +50,91 @@
 }
 
 func newRunner(id, service string, entry map[string]any) *runner {
-	return &runner{id: id, service: service, born: time.Now().UnixMilli(), entry: entry, runs: make(map[string]int)}
+	return &runner{id: id, service: service, born: time.Now().UnixMilli(), entry: entry, runs: make(map[string]int), open: make(map[net.Conn]bool)}
 }
 
 // serve listens and writes the entry to the store from now on.
 func (r *runner) serve(s *store) {
-	listener := listen()
-	r.address = listener.Addr().String()
+	r.address = freeAddress()
+	r.listen()
+	r.register(s, 1)
+	go func() {
+		for seq := 2; ; seq++ {
+			time.Sleep(heartbeat)
+			r.mu.Lock()
+			up := r.listener != nil
+			r.mu.Unlock()
+			if up {
+				r.register(s, seq)
+			}
+		}
+	}()
+}
+
+// listen accepts connections at the runner's address.
+func (r *runner) listen() {
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		fail("listen: %v", err)
+	}
+	r.mu.Lock()
+	r.listener = listener
+	r.mu.Unlock()
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			r.mu.Lock()
+			r.open[c] = true
+			r.mu.Unlock()
 			go r.converse(&link{Conn: c})
 		}
 	}()
-	r.register(s, 1)
-	go func() {
-		for seq := 2; ; seq++ {
-			time.Sleep(heartbeat)
-			r.register(s, seq)
-		}
-	}()
+}
+
+// crash ends the runner's process, and starts another under its id after a time.
+func (r *runner) crash(down time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil {
+		return
+	}
+	_ = r.listener.Close()
+	r.listener = nil
+	for c := range r.open {
+		_ = c.Close()
+	}
+	time.AfterFunc(down, func() {
+		r.mu.Lock()
+		r.born = time.Now().UnixMilli()
+		r.mu.Unlock()
+		r.listen()
+	})
 }
 
 func (r *runner) register(s *store, seq int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": "psyrri-hall", "version": "v1", "state": "ready",
 		"coldRemainingMs": 0, "seq": seq, "born": r.born,
 	}
-	r.mu.Lock()
 	for name, value := range r.entry {
 		entry[name] = value
 	}
-	r.mu.Unlock()
 	s.put("servers", r.id, entry)
 }
 
 // converse handles the requests on a connection, one after the other.
 func (r *runner) converse(c *link) {
-	defer c.Close()
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, c.Conn)
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
