--- a/review/standin/sigterm.go
+++ b/review/standin/sigterm.go
@@ -16,6 +16,7 @@
 	auditDeadline = 20 * time.Second
 	audits        = 16
 	auditPause    = 300 * time.Millisecond
+	noticeTime    = 5 * time.Millisecond
 )
 
 // reader is a model runner that reads one prompt at a time.
@@ -56,10 +57,9 @@
 func (r *reader) read(q *asked) bool {
 	r.reading.Lock()
 	defer r.reading.Unlock()
-	select {
-	case <-q.gone:
+	// All connections of a process end at once; that takes a moment to notice.
+	if !work(q, noticeTime) {
 		return false
-	default:
 	}
 	r.mu.Lock()
 	r.began[q.id] = time.Now()
