Soak: play loads that don't wait for answers, at upstreams with a capacity

The soak had callers that send one request at a time, to upstreams that take everything. Loads now send at a rate, in bursts, with long bodies, deadlines of their own and callers that return at once; upstreams have places and a queue and turn away what is beyond.

New faults, each by name: upstreams that turn requests away and write answers once more where the next one is expected, that stand still as a paused process does while the kernel accepts connections and requests for them, that reset connections beyond a limit, or right after an answer.

--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -64,7 +65,7 @@
 }
 
 func soakCommand() *cobra.Command {
-	var program, before, folder, regressions string
+	var program, before, folder, regressions, loadName string
 	var seed uint64
 	var seeds, instances int
 	var span time.Duration
@@ -88,8 +89,15 @@
 			if err != nil {
 				return err
 			}
+			load, err := chooseLoad(loadName)
+			if err != nil {
+				return err
+			}
+			if load != nil && !command.Flags().Changed("instances") {
+				instances = load.instances
+			}
 			for _, next := range list {
-				runSoak(command.Context(), wire, soakRun{program: program, before: before, folder: folder, seed: next, instances: instances, span: span, faults: faults, unfenced: unfenced})
+				runSoak(command.Context(), wire, soakRun{load: load, program: program, before: before, folder: folder, seed: next, instances: instances, span: span, faults: faults, unfenced: unfenced})
 			}
 			body, err := json.MarshalIndent(wire, "", "  ")
 			if err != nil {
@@ -112,6 +120,7 @@
 	command.Flags().IntVar(&seeds, "seeds", 1, "number of soaks, run one after the other")
 	command.Flags().IntVar(&instances, "instances", soakInstances, "number of instances")
 	command.Flags().StringSliceVar(&names, "faults", nil, "faults to inject, by name; if empty, all but those that depend on being named: all_killed, all_killed_store_restored, rate_limit, all_failing")
+	command.Flags().StringVar(&loadName, "load", "", "load that doesn't wait for answers, by name: "+strings.Join(slices.Sorted(maps.Keys(soakLoads)), ", ")+"; empty for callers that send one request at a time")
 	command.Flags().BoolVar(&unfenced, "unfenced", false, "engines accept orders with an older fencing token")
 	command.Flags().DurationVar(&span, "span", 8*time.Second, "time during which faults start")
 	return command
@@ -148,11 +157,13 @@
 	// program is the build that instances run from their first restart on.
 	program   string
 	storeLink *host.Link
-	random    *rand.Rand
-	wire      *soakWire
-	seed      uint64
-	faults    []soakFault
-	unfenced  bool
+	// load is nil for callers that send one request at a time.
+	load     *soakLoad
+	random   *rand.Rand
+	wire     *soakWire
+	seed     uint64
+	faults   []soakFault
+	unfenced bool
 
 	mu            sync.Mutex
 	sent          map[string]*sentRequest
@@ -207,6 +218,8 @@
 	// span is the time during which faults start.
 	span   time.Duration
 	faults []soakFault
+	// load is nil for callers that send one request at a time.
+	load *soakLoad
 	// unfenced means that engines don't check fencing tokens.
 	unfenced bool
 }
@@ -230,7 +243,7 @@
 	}
 	s := &soak{
 		program: run.program, random: rand.New(rand.NewPCG(seed, seed)), wire: wire, seed: seed, sent: make(map[string]*sentRequest), version: 1,
-		affected: make(map[*host.Instance]bool), disturbed: make(map[string][]*interval), faults: run.faults, unfenced: run.unfenced,
+		affected: make(map[*host.Instance]bool), disturbed: make(map[string][]*interval), faults: run.faults, unfenced: run.unfenced, load: run.load,
 	}
 	if slices.ContainsFunc(run.faults, func(fault soakFault) bool { return fault.name == "release" }) {
 		s.software = 1
@@ -246,7 +259,10 @@
 	s.partCtx = callers
 	s.prompts = slices.ContainsFunc(run.faults, func(fault soakFault) bool { return fault.name == "crashing_part" })
 	var group sync.WaitGroup
-	for n := range soakCallers {
+	if s.load != nil {
+		group.Go(func() { s.sendLoad(callers) })
+	}
+	for n := range s.callerCount() {
 		group.Add(1)
 		random := rand.New(rand.NewPCG(seed, uint64(n)+1000))
 		go func() {
@@ -282,7 +298,9 @@
 			s.upstreamSpec("models", "m1", "m2"), s.upstreamSpec("models", "m3", "m4"), s.upstreamSpec("models", "m5", "m6"), s.upstreamSpec("plain"), s.upstreamSpec("plain"), s.upstreamSpec("plain"),
 		},
 	}
-	if s.software > 0 {
+	if s.load != nil {
+		options.Upstreams = s.upstreamSpecs()
+	} else if s.software > 0 {
 		// Each version keeps some engines beside those of others.
 		for n := range 5 {
 			options.Upstreams = append(options.Upstreams, s.upstreamSpec("models", soakModels[n], soakModels[n+3]))
@@ -317,12 +335,28 @@
 	if s.software > 0 && service == "models" {
 		version, pause = fmt.Sprintf("v%d", s.software), soakEventPause
 	}
+	var capacity host.Capacity
+	if s.load != nil {
+		capacity, pause = s.load.plainCapacity, 0
+		if service == "models" {
+			capacity, pause = s.load.engineCapacity, s.load.eventPause
+		}
+	}
 	return host.UpstreamSpec{
-		ID: fmt.Sprintf("%s-%d", service, s.upstreamCount), Service: service, DataCentre: "x", Models: models, Disk: soakModels, Slots: 16,
+		Capacity: capacity,
+		ID:       fmt.Sprintf("%s-%d", service, s.upstreamCount), Service: service, DataCentre: "x", Models: models, Disk: soakModels, Slots: 16,
 		LoadTime: 120 * time.Millisecond, MaxModels: soakEngineCapacity, WithLink: true, Unfenced: s.unfenced, Version: version, EventPause: pause,
 	}
 }
 
+// callerCount returns the number of callers that send one request at a time.
+func (s *soak) callerCount() int {
+	if s.load != nil {
+		return 0
+	}
+	return soakCallers
+}
+
 // runCaller sends requests until ctx ends. It keeps its connections as long as it
 // uses the same address.
 func (s *soak) runCaller(ctx context.Context, caller int, random *rand.Rand) {
--- a/cmd/cardload/soak_check.go
+++ b/cmd/cardload/soak_check.go
@@ -155,20 +155,30 @@
 		return
 	}
 	s.wire.Outcomes[fmt.Sprint(e.response.Status)]++
-	switch e.response.Status {
-	case http.StatusOK:
+	switch status := e.response.Status; {
+	case status == http.StatusOK:
 		s.checkWhole(id, e)
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case isPromise(status):
 		// A refusal means that the request has not run, also for requests that may be
 		// repeated.
 		if runs > 0 {
 			s.addViolation(fmt.Sprintf("%s (%s) got %d, but ran", id, e.kind, e.response.Status))
 		}
-	case http.StatusNotFound:
+	case status == http.StatusNotFound:
 		s.addViolation(id + " got 404 for a route that is in every configuration")
 	}
 }
 
+// isPromise reports whether a status says that a request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkWhole checks that a success is the complete answer to its own request.
 func (s *soak) checkWhole(id string, e *sentRequest) {
 	expected := "whole answer to " + id
--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -34,6 +34,10 @@
 	{"release", releaseEngine},
 	{"partition", partition},
 	{"late_refusals", refuseTwice},
+	{"upstream_stands_still", standStill},
+	{"upstream_limits_connections", limitConnections},
+	{"upstream_resets_answers", resetAnswers},
+	{"upstream_repeats_answers", repeatAnswers},
 }
 
 // soakFaults are the faults of a soak unless names are given.
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -67,6 +66,13 @@
 	if err != nil {
 		return
 	}
+	place := u.admit(r)
+	switch place {
+	case abandoned:
+		panic(http.ErrAbortHandler)
+	case admitted:
+		defer u.leave()
+	}
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, Arrival{r.Header.Get("Request-Id"), time.Now()})
 	if len(u.rateLimit) > 0 {
@@ -82,6 +88,7 @@
 		return
 	}
 	behaviour := u.nextBehaviour()
+	behaviour = u.repetition.apply(behaviour, place == turnedAway)
 	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
 	if _, ok := u.resident[model]; model != "" && !ok || r.Header.Get("Expect-Instance") != u.spec.ID {
 		behaviour = Misdirected
@@ -123,12 +130,12 @@
 			u.mu.Unlock()
 		}
 		panic(http.ErrAbortHandler)
-	case Full, FullLate, UnnamedLate:
-		if behaviour != UnnamedLate {
+	case Full, FullLate, UnnamedFull, UnnamedLate:
+		if behaviour == Full || behaviour == FullLate {
 			w.Header().Set("Request-Id", id)
 		}
-		if behaviour != Full {
-			repeatLate(r, w.Header().Get("Request-Id"))
+		if behaviour == FullLate || behaviour == UnnamedLate {
+			repeatRefusal(r, w.Header().Get("Request-Id"))
 		}
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -144,11 +151,13 @@
 	case EndlessStatus, EndlessHeader, EndlessInformational, EndlessChunkLine, EndlessTrailer, EndlessBody, EndlessEvent, EndlessRefusal, StalledRefusal, EndlessTail:
 		u.writeEndless(behaviour, w, r)
 		return
-	case Malformed, ExtraResponse, Unframed, UnframedReset, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment:
+	case Malformed, ExtraResponse, Unframed, UnframedReset, UnframedCut, UnnumberedCut, UnframedEmpty, UnframedShort, LengthCut, ChunkCut, WholeCut, Comment, AnswerReset, HeadCut, HeadOpen, ErrorPage, NoContent, UnframedError:
 		u.writeRaw(behaviour, w, r)
 		return
 	case WrongID:
 		id = "another"
+	case AnswerLate:
+		u.repeatAnswer(r, id)
 	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Server-Seal", "seal."+u.spec.ID)
@@ -160,6 +169,9 @@
 		u.stream(behaviour, w, r.Header.Get("Last-Event-Id"), r.Context().Done())
 		return
 	}
+	if !u.work(r) {
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = io.WriteString(w, "whole answer to "+id)
 }
 
@@ -278,9 +290,7 @@
 	case UnframedReset:
 		_, _ = buffered.WriteString(head + "\r\n" + body[:len(body)/2])
 		_ = buffered.Flush()
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		reset(connection)
 		return
 	case UnframedEmpty:
 		_, _ = buffered.WriteString(head + "\r\n")
@@ -290,6 +300,18 @@
 		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n\r\n%s", head, len(body), cut)
 	case ChunkCut:
 		_, _ = fmt.Fprintf(buffered, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(cut), cut)
+	case HeadCut:
+		_, _ = buffered.WriteString(head + "Content-Le")
+	case HeadOpen:
+		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n", head, len(body))
+	case ErrorPage:
+		const failure = `{"error": "the model failed"}` + "\n\n"
+		_, _ = fmt.Fprintf(buffered, "%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(failure), failure)
+	case NoContent:
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 204 No Content\r\nRequest-Id: %s\r\nServer-Seal: seal.%s\r\n\r\n", id, u.spec.ID)
+	case UnframedError:
+		first, _, _ := strings.Cut(body, "\n\n")
+		_, _ = buffered.WriteString(head + "\r\n" + first + "\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed")
 	case WholeCut:
 		_, _ = fmt.Fprintf(buffered, "%sContent-Length: %d\r\n\r\n%s", head, len(cut), cut)
 	case Comment:
@@ -298,6 +320,11 @@
 		_, _ = buffered.WriteString("no response at all\r\n\r\n")
 	case ExtraResponse:
 		_, _ = buffered.WriteString(framed + framed)
+	case AnswerReset:
+		_, _ = buffered.WriteString(framed)
+		_ = buffered.Flush()
+		reset(connection)
+		return
 	default:
 		_, _ = buffered.WriteString(head + "\r\n" + body)
 	}
--- a/fakes/host/behaviours.go
+++ b/fakes/host/behaviours.go
@@ -20,6 +20,13 @@
 	FullLate Behaviour = "full-late"
 	// UnnamedLate is FullLate without the request's id in either refusal.
 	UnnamedLate Behaviour = "unnamed-late"
+	// UnnamedFull is Full without the request's id.
+	UnnamedFull Behaviour = "unnamed-full"
+	// AnswerLate is Answer, and the answer comes once more where the next response on the
+	// connection is expected.
+	AnswerLate Behaviour = "answer-late"
+	// AnswerReset runs the request, sends a complete answer and resets the connection at once.
+	AnswerReset Behaviour = "answer-reset"
 	// UnmarkedRefusal does not run the request and answers 503 without the Not-Run header.
 	UnmarkedRefusal Behaviour = "unfounded"
 	// InternalError runs the request and answers 500.
@@ -50,6 +57,17 @@
 	ChunkCut Behaviour = "chunk-cut"
 	// WholeCut frames as whole a response that ends inside an event.
 	WholeCut Behaviour = "whole-cut"
+	// HeadCut runs the request and closes the connection, in order, inside a header line, and
+	// HeadOpen between the last header line and the blank line after it.
+	HeadCut  Behaviour = "head-cut"
+	HeadOpen Behaviour = "head-open"
+	// ErrorPage runs the request and answers 200 with an error in place of a stream, and
+	// NoContent answers 204.
+	ErrorPage Behaviour = "error-page"
+	NoContent Behaviour = "no-content"
+	// UnframedError is Unframed, but the stream breaks off after an event, and the header and
+	// the text of an error follow.
+	UnframedError Behaviour = "unframed-error"
 	// Comment is Unframed with a comment after the last event.
 	Comment Behaviour = "comment"
 	// EndlessStatus runs the request and sends a status line that never ends.
@@ -89,7 +107,7 @@
 // refuses reports whether the behaviour is an answer without running the request.
 func (b Behaviour) refuses() bool {
 	switch b {
-	case Full, FullLate, UnnamedLate, EndlessRefusal, StalledRefusal, Misdirected, UnmarkedRefusal:
+	case Full, FullLate, UnnamedFull, UnnamedLate, EndlessRefusal, StalledRefusal, Misdirected, UnmarkedRefusal:
 		return true
 	default:
 		return false
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,6 +60,8 @@
 	EventPause time.Duration
 	// WithLink puts a Link, a fault-injecting TCP proxy, in front of the upstream.
 	WithLink bool
+	// Capacity limits the requests at a time; the zero value doesn't.
+	Capacity Capacity
 }
 
 // Upstream is a fake model engine or plain service. It is safe for concurrent
@@ -69,6 +72,11 @@
 	spec      UpstreamSpec
 	store     *Store
 	server    *httptest.Server
+	sockets   *sockets
+	// places has an entry for each running request, waiting counts those that wait for one.
+	places     chan struct{}
+	waiting    atomic.Int64
+	repetition Repetition
 	// next are the behaviours for the next requests, before those of the script.
 	next   []Behaviour
 	script *[]Behaviour
@@ -135,6 +143,11 @@
 		}
 	}))
 	u.server.Config.ConnContext = withLate
+	u.sockets = newSockets(u.server.Listener)
+	u.server.Listener = u.sockets
+	if spec.Capacity.Running > 0 {
+		u.places = make(chan struct{}, spec.Capacity.Running)
+	}
 	u.server.Start()
 	if spec.WithLink {
 		link, err := NewLink(strings.TrimPrefix(u.server.URL, "http://"))
@@ -196,6 +209,7 @@
 // stop breaks the upstream's connections and stops it.
 func (u *Upstream) stop() {
 	u.closeOnce.Do(func() {
+		u.GoOn()
 		close(u.closed)
 		u.server.CloseClientConnections()
 		u.server.Close()
--- a/fakes/host/late.go
+++ b/fakes/host/late.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 )
@@ -17,20 +19,88 @@
 	response   string
 }
 
+// Repetition is how often an upstream turns requests away, and writes an answer once more
+// where the next one on the connection is expected. All are shares from 0 to 1.
+type Repetition struct {
+	Refused  float64
+	Repeated float64
+	// Unnamed is the share of refusals, also repeated ones, without the request's id.
+	Unnamed float64
+	// Random draws them. It is used by this upstream alone.
+	Random *rand.Rand
+}
+
+// Repeat makes the upstream repeat answers from now on. The zero value ends it.
+func (u *Upstream) Repeat(repetition Repetition) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.repetition = repetition
+}
+
 // withLate keeps the late response of a connection in the context of its requests.
 func withLate(ctx context.Context, connection net.Conn) context.Context {
 	return context.WithValue(ctx, lateKey{}, &late{connection: connection})
 }
 
-// repeatLate makes the refusal of a request come once more, before the next response on its
+// apply returns the behaviour for a request that the script gives another one, or that is to
+// be refused.
+func (r Repetition) apply(scripted Behaviour, refused bool) Behaviour {
+	switch {
+	case refused:
+		return r.drawRefusal()
+	case scripted != Answer:
+		return scripted
+	case r.draw(r.Refused):
+		return r.drawRefusal()
+	case r.draw(r.Repeated):
+		return AnswerLate
+	default:
+		return Answer
+	}
+}
+
+// drawRefusal returns the behaviour for a request that is refused: whether the refusal names
+// the request, and whether it comes once more.
+func (r Repetition) drawRefusal() Behaviour {
+	unnamed := r.draw(r.Unnamed)
+	switch repeated := r.draw(r.Repeated); {
+	case repeated && unnamed:
+		return UnnamedLate
+	case repeated:
+		return FullLate
+	case unnamed:
+		return UnnamedFull
+	default:
+		return Full
+	}
+}
+
+// draw returns true for a share of the calls.
+func (r Repetition) draw(share float64) bool { return share > 0 && r.Random.Float64() < share }
+
+// repeatRefusal makes the refusal of a request come once more, before the next response on its
 // connection. id is the request's id in it, empty for none.
-func repeatLate(r *http.Request, id string) {
+func repeatRefusal(r *http.Request, id string) {
+	name := ""
+	if id != "" {
+		name = "Request-Id: " + id + "\r\n"
+	}
+	repeatLate(r, "HTTP/1.1 503 Service Unavailable\r\n"+name+"Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+// repeatAnswer makes the whole answer to a request come once more, before the next response on
+// its connection.
+func (u *Upstream) repeatAnswer(r *http.Request, id string) {
+	body := "whole answer to " + id
+	if r.Header.Get("Model") != "" {
+		body = u.streamBody(r.Header.Get("Last-Event-Id"))
+	}
+	repeatLate(r, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: seal.%s\r\nContent-Length: %d\r\n\r\n%s", id, u.spec.ID, len(body), body))
+}
+
+func repeatLate(r *http.Request, response string) {
 	if l, ok := r.Context().Value(lateKey{}).(*late); ok {
-		name := ""
-		if id != "" {
-			name = "Request-Id: " + id + "\r\n"
-		}
-		l.response = "HTTP/1.1 503 Service Unavailable\r\n" + name + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		l.response = response
 	}
 }
 
--- a/fakes/host/link.go
+++ b/fakes/host/link.go
@@ -251,8 +251,11 @@
 
 // reset closes a connection so that its peer gets a TCP reset.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if l, ok := c.(lingerer); ok {
+		_ = l.SetLinger(0)
 	}
 	_ = c.Close()
 }
+
+// lingerer is a connection whose Close can be made to reset it.
+type lingerer interface{ SetLinger(seconds int) error }
--- a/fakes/host/site.go
+++ b/fakes/host/site.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -239,6 +240,8 @@
 	Resumes     string
 	LastEventID string
 	Body        string
+	// Deadline is how long the caller waits, RequestTimeout if it is 0.
+	Deadline time.Duration
 	// Address is the host:port to connect to.
 	Address string
 }
@@ -293,7 +296,7 @@
 	}
 	httpRequest.Host = "h.example"
 	httpRequest.Header.Set("Request-Id", request.ID)
-	httpRequest.Header.Set("Deadline-Ms", strconv.FormatInt(RequestTimeout.Milliseconds(), 10))
+	httpRequest.Header.Set("Deadline-Ms", strconv.FormatInt(cmp.Or(request.Deadline, RequestTimeout).Milliseconds(), 10))
 	if request.Model != "" {
 		httpRequest.Header.Set("Model", request.Model)
 		httpRequest.Header.Set("Token-Count", "100,20")
