Go on with a stream only with another response of the same kind

Cause: a response with any status below 300 counted as the rest of the stream. An error page with status 200 was passed on as events and ended the stream in order; a 204 ended it without a single one. Statuses from 300 on broke the stream off before, in both paths.

Evidence: relay, 'puts no text of an error into a stream: an error page with status 200' and 'doesn't complete a stream whose resumption gets 204' fail before (a whole response of status 200) and pass now.

Change: a response goes on with a stream if it has the status of the one that began it and is a stream of events as far as its media type tells; else the caller's connection is broken off. The same holds for the response of another instance. Why it works: the caller has the header of the first response, so only bytes of that kind can follow it.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -87,6 +87,10 @@
 	delivery        delivery
 	// headerSent means that the response's header was written to the caller.
 	headerSent bool
+	// begunStatus and begunType are the status and the media type of the response that began
+	// the stream.
+	begunStatus int
+	begunType   string
 	// lastEventID is the id of the last whole event written to the caller.
 	lastEventID string
 	// binding is where the stream began.
--- a/relay/hop.go
+++ b/relay/hop.go
@@ -219,7 +219,7 @@
 	if reply.Leaving && upstream.ID != "" {
 		x.recordHopNotice(upstream)
 	}
-	if x.headerSent && response.Status() >= http.StatusMultipleChoices {
+	if x.headerSent && !x.continues(response) {
 		response.Discard()
 		x.abort("not_resumed")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,6 +41,9 @@
 	// Body is the expected body. Cut means that the response ends early.
 	Body string `json:"body"`
 	Cut  bool   `json:"cut"`
+	// Begins is what the body of a response that ends early is the beginning of, empty if it
+	// isn't checked.
+	Begins string `json:"begins"`
 	// Runs is how often the request ran, on all upstreams together.
 	Runs int `json:"runs"`
 	// RetryAfter reports whether the response has a Retry-After header.
@@ -73,6 +76,7 @@
 			body, err := io.ReadAll(response.Body)
 			if c.Cut {
 				Expect(err).To(HaveOccurred(), string(body))
+				Expect(c.Begins == "" || strings.HasPrefix(c.Begins, string(body))).To(BeTrue(), string(body))
 			} else {
 				Expect(err).NotTo(HaveOccurred())
 			}
--- a/relay/respond.go
+++ b/relay/respond.go
@@ -65,8 +65,7 @@
 		x.fail(http.StatusBadGateway, "unfounded_refusal")
 		return false
 	}
-	if x.headerSent && status >= http.StatusMultipleChoices {
-		// The caller has the start of the stream, and this response is an error.
+	if x.headerSent && !x.continues(response) {
 		response.Discard()
 		x.abort("not_resumed")
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,9 @@
 // forwarded.
 const maxEventBytes = 256 << 10
 
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
 // Errors of a stream whose response ended without an error of the connection.
 var (
 	// errInsideEvent means that the stream ended inside an event.
@@ -126,6 +130,7 @@
 // writeEvents writes whole events to the caller, and reports whether it succeeded.
 func (x *exchange) writeEvents(response *conns.Response, events []byte) bool {
 	if !x.headerSent {
+		x.begunStatus, x.begunType = response.Status(), mediaType(response.Header())
 		x.copyHeader(response)
 		x.w.WriteHeader(response.Status())
 		x.firstEventAfter = time.Since(x.arrived)
@@ -168,6 +173,20 @@
 	return false
 }
 
+// continues reports whether a response may go on with the stream that the caller has the start
+// of: it has the status of the response that began it, and is a stream of events as far as its
+// media type tells.
+func (x *exchange) continues(response *conns.Response) bool {
+	kind := mediaType(response.Header())
+	return response.Status() == x.begunStatus && (kind == "" || kind == eventStream || kind == x.begunType)
+}
+
+// mediaType returns the media type of a body in lower case, empty if the header has none.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // mayResume reports whether another upstream may continue the stream after its last
 // event, or begin it if the caller has none. Events without an id can't be continued:
 // they would come twice.
