Break off a stream without a length where the header of another response follows

What callers saw, as operators of similar systems report: the whole head of an error in the middle of their stream.

Cause: a stream that ends with its connection has no mark between its bytes and those of another response that an upstream writes after it. The blank line after that header ended an event, so that header was passed on as one.

Change: in such a stream a line that begins like a status line ends what is passed on; the stream broke off after the last whole event before it, and is resumed where its route allows. Why it works: each line of an event begins with a field's name or a colon, so no event has such a line. A header that begins inside a line of an event is not found.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,6 +28,9 @@
 	errInsideEvent = eris.New("stream ended inside an event")
 	// errEventTooLong means that an event did not end within maxEventBytes.
 	errEventTooLong = eris.New("event of the stream is too long")
+	// errForeignHead means that the header of another response follows in the stream's body,
+	// which ends with its connection.
+	errForeignHead = eris.New("stream is followed by the header of another response")
 	// errNoEvent means that the connection closed after the header.
 	errNoEvent = eris.New("stream ended with its connection before its first event")
 )
@@ -73,7 +76,11 @@
 			x.server.Reach.Answered(upstream.ID, clock.Now())
 		}
 		partial = append(partial, buffer[:n]...)
-		if end := wholeEventsLength(partial); end > 0 {
+		end, foreign := wholeEventsLength(partial), false
+		if rest.framing == conns.UntilClose {
+			end, foreign = cutAtHead(partial[:end])
+		}
+		if end > 0 {
 			if !rest.hasEvents {
 				x.recordOrigin(upstream)
 			}
@@ -94,6 +101,8 @@
 			lastEvent = read
 		}
 		switch {
+		case foreign:
+			return x.handleStreamBroken(upstream, errForeignHead)
 		case len(partial) > maxEventBytes:
 			return x.handleStreamBroken(upstream, errEventTooLong)
 		case errors.Is(err, io.EOF):
@@ -208,6 +217,25 @@
 	return length
 }
 
+// headLine begins the status line of a response. No line of an event begins like it.
+var headLine = []byte("HTTP/1.")
+
+// cutAtHead returns the length of the whole events before the header of another response, the
+// length of all if there is none, and whether there is one.
+func cutAtHead(events []byte) (int, bool) {
+	for at := 0; at < len(events); {
+		if bytes.HasPrefix(events[at:], headLine) {
+			return wholeEventsLength(events[:at]), true
+		}
+		next := bytes.IndexAny(events[at:], "\r\n")
+		if next < 0 {
+			break
+		}
+		at += next + 1
+	}
+	return len(events), false
+}
+
 // isInsideEvent reports whether what follows the last whole event of a stream is the
 // start of another: anything but blank lines and whole comments.
 func isInsideEvent(tail []byte) bool {
