Test responses that stop in their header

Reported by operators of similar systems: an upstream stopped in the middle of its header and closed, and callers got 200 with an empty or short body, framed as whole. It does not happen here: a header counts only with its blank line.

--- a/conns/arrived_test.go
+++ b/conns/arrived_test.go
@@ -62,3 +62,22 @@
 		}
 	}
 })
+
+// A response that stops in its header reached callers as a whole one with an empty body.
+var _ = Describe("a response that stops in its header", func() {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\n"
+	It("is no response, wherever it stops", func() {
+		stop := make(chan int, 1)
+		address := startUpstream(func(c net.Conn, _ int) {
+			if readRequest(c) {
+				_, _ = c.Write([]byte(head[:<-stop]))
+			}
+		})
+		for length := range len(head) {
+			stop <- length
+			_, err := conns.New(nil).Do(context.Background(), address, &conns.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			Expect(err).To(HaveOccurred(), head[:length])
+			Expect(errors.Is(err, conns.ErrNotSent)).To(BeFalse(), head[:length])
+		}
+	})
+})
