Accept requests for three seconds at most while leaving, however long the grace time is

What callers saw, as operators of similar systems report: in a planned stop, requests that came late in the grace time were taken and passed on, and cut off without an answer at its end.

Cause, as far as it can happen here: a leaving instance accepted requests for 34 % of its grace time, without a bound. With 8 s these are 2.7 s; with 12 s 4.1 s, with a minute 20 s, and what came late had no more than two thirds of the time to end.

With real processes, 90 requests over the whole grace time of 3 s on connections opened before it, at upstreams that never answer: each that was passed on is answered 502, later ones are refused (proof, 'requests that reach an instance in its grace time'); that test passes on the code before too.

Change: 2.8 s at most. Why it works: callers look up addresses again within that time, and a request that is refused can be sent to another instance at once.

--- a/front/front.go
+++ b/front/front.go
@@ -60,6 +60,9 @@
 	// The rest is for the requests in flight. The grace time is the time that an
 	// instance gets to shut down.
 	acceptPercent = 34
+	// maxAcceptTime bounds that time: callers look addresses up again within it, and what
+	// comes later may be cut off at the end of the grace time.
+	maxAcceptTime = 2800 * time.Millisecond
 	// exitMargin is the time at the end of the grace time that is reserved for the
 	// process to exit.
 	exitMargin = 400 * time.Millisecond
@@ -344,7 +347,7 @@
 	if err := i.loop.Leave(ctx); err != nil {
 		i.logger.Warn("lease_not_released", "reason", err)
 	}
-	sleep.For(context.Background(), i.settings.grace*acceptPercent/100-time.Since(began))
+	sleep.For(context.Background(), acceptTime(i.settings.grace)-time.Since(began))
 	i.shutdown.stopAccepting()
 	end := began.Add(i.settings.grace - exitMargin)
 	if err := i.drain(end.Add(-answerMargin)); err != nil {
@@ -356,6 +359,12 @@
 	}
 }
 
+// acceptTime returns how long an instance with the grace time still accepts requests once it
+// leaves.
+func acceptTime(grace time.Duration) time.Duration {
+	return min(grace*acceptPercent/100, maxAcceptTime)
+}
+
 // drain waits until the requests in flight have ended, those of other instances too. It fails
 // if they have not by a time.
 func (i *Instance) drain(until time.Time) error {
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -1,8 +1,15 @@
 package proof_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -44,3 +51,69 @@
 		Expect(leaving.Log()).To(ContainSubstring("event=stopped"))
 	})
 })
+
+// lateRequests is how many requests are sent in the grace time, and latePace the pause between
+// two of them: together they last longer than it.
+const (
+	lateRequests = 90
+	latePace     = 40 * time.Millisecond
+)
+
+// Requests that came late in the grace time were passed on, and cut off without an answer at its
+// end.
+var _ = Describe("requests that reach an instance in its grace time", func() {
+	It("are answered if they are passed on", func() {
+		s := startFront(2)
+		leaving := s.Instances[0]
+		for _, upstream := range s.Upstreams {
+			for range lateRequests {
+				upstream.AppendBehaviours(host.Hang)
+			}
+		}
+		open := make([]net.Conn, lateRequests)
+		for n := range open {
+			c, err := net.Dial("tcp", leaving.EntryAddress)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			open[n] = c
+		}
+		Expect(leaving.Signal(syscall.SIGTERM)).To(Succeed())
+		var mu sync.Mutex
+		statuses := make(map[string]int)
+		var group sync.WaitGroup
+		pace := time.NewTicker(latePace)
+		defer pace.Stop()
+		for n, c := range open {
+			<-pace.C
+			group.Go(func() {
+				id := fmt.Sprintf("late-%d", n)
+				_, _ = fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 10000\r\nContent-Length: 2\r\n\r\nhi", id)
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					return
+				}
+				defer response.Body.Close()
+				if _, err := io.Copy(io.Discard, response.Body); err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[id] = response.StatusCode
+			})
+		}
+		group.Wait()
+		Eventually(leaving.Done(), conditionTimeout).Should(BeClosed())
+		runs := s.Runs()
+		Expect(runs).NotTo(BeEmpty())
+		refused := 0
+		for n := range lateRequests {
+			id := fmt.Sprintf("late-%d", n)
+			if runs[id] > 0 {
+				Expect(statuses[id]).To(Equal(http.StatusBadGateway), id)
+			} else if statuses[id] == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+		Expect(refused).NotTo(BeZero())
+	})
+})
