Count and log on what a refusal of an upstream rests

Callers get 503 where an upstream said that it has not run the request. Neither logs nor metrics told whether that answer named the request and whether its connection had an earlier one, nor how often responses came that belong to no request: without logs the users could not have told a wrong refusal by its metrics.

rejected has the fields named and reused; rejections_total counts by both, foreign_responses_total counts copies that were dropped, refusals that may be copies, headers that are none, and answers to others. No decision changes.

--- a/logs/words.go
+++ b/logs/words.go
@@ -148,6 +148,8 @@
 	"limit":           "rate limit of the upstream, in requests a second",
 	"limit_before":    "rate limit until then, 0 if there was none",
 	"lossy":           "whether entries of the previous holder may be missing",
+	"named":           "whether an upstream's refusal names the request",
+	"reused":          "whether the connection had an earlier request",
 	"members":         "instances that share the retry budget, as assumed",
 	"model":           "model that the event is about",
 	"order":           "load or unload",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -81,6 +81,19 @@
 	t.Add(fmt.Sprintf("retry_credit_asked_total{enough=%q}", strconv.FormatBool(enough)), 1)
 }
 
+// CountRejection counts an upstream's answer that it has not run the request, by whether the
+// answer names the request and whether its connection had an earlier one.
+func (t *Tally) CountRejection(named, reused bool) {
+	t.Add(fmt.Sprintf("rejections_total{named=%q,reused=%q}", strconv.FormatBool(named), strconv.FormatBool(reused)), 1)
+}
+
+// CountForeign counts a response that is not the answer to the request at hand, by kind: late (a
+// copy of the answer before it), unnamed (a refusal that may be such a copy), malformed (no
+// valid header) or other.
+func (t *Tally) CountForeign(kind string) {
+	t.Add(fmt.Sprintf("foreign_responses_total{kind=%q}", kind), 1)
+}
+
 // CountPermit counts the answer to a request for a permit: granted, refused, later, alone
 // (by this instance's own share) or unanswered.
 func (t *Tally) CountPermit(answer string) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -217,6 +217,9 @@
 		return x.handleNotSent(upstream, err)
 	}
 	x.sends++
+	if errors.Is(err, conns.ErrInvalidResponse) {
+		s.Metrics.CountForeign("malformed")
+	}
 	if err == nil {
 		response, err = x.skipLate(upstream, response)
 	}
@@ -230,6 +233,7 @@
 	x.recordNotice(upstream, reply)
 	switch {
 	case !x.isAnswer(response, reply):
+		s.Metrics.CountForeign(foreignKind(reply))
 		return x.handleBroken(upstream, errForeignResponse, now)
 	case reply.NotRun:
 		return x.handleNotRun(upstream, response, reply)
@@ -244,6 +248,7 @@
 	if reply.ID == "" || reply.ID == x.info.ID || reply.ID != response.LastID() {
 		return response, nil
 	}
+	x.server.Metrics.CountForeign("late")
 	x.log.Info("late_response", "request", x.info.ID, "upstream", upstream.ID, "status", response.Status())
 	return response.Next()
 }
@@ -262,6 +267,14 @@
 	}
 }
 
+// foreignKind names a response that is not the answer to the request at hand, for metrics.
+func foreignKind(reply ResponseInfo) string {
+	if reply.NotRun && reply.ID == "" {
+		return "unnamed"
+	}
+	return "other"
+}
+
 // handleNotSent handles an upstream that could not be reached.
 func (x *exchange) handleNotSent(upstream *site.Upstream, err error) bool {
 	if x.r.Context().Err() != nil {
@@ -293,7 +306,9 @@
 func (x *exchange) handleNotRun(upstream *site.Upstream, response *conns.Response, reply ResponseInfo) bool {
 	response.Discard()
 	x.rejected++
-	x.log.Info("rejected", "request", x.info.ID, "upstream", upstream.ID, "status", response.Status(), "model", x.info.Model, "adapter", x.info.Adapter, "rejected", x.rejected)
+	named, reused := reply.ID != "", response.OnReusedConnection()
+	x.server.Metrics.CountRejection(named, reused)
+	x.log.Info("rejected", "request", x.info.ID, "upstream", upstream.ID, "status", response.Status(), "model", x.info.Model, "adapter", x.info.Adapter, "named", named, "reused", reused, "rejected", x.rejected)
 	if reply.Misdirected {
 		x.server.availability.markMissing(upstream, x.info, time.Now())
 	} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -148,6 +148,11 @@
 	// CountHop counts a request that was sent through another instance, by whether that
 	// answered.
 	CountHop(answered bool)
+	// CountRejection counts an answer that the request has not run, by whether it names the
+	// request and whether its connection had an earlier one.
+	CountRejection(named, reused bool)
+	// CountForeign counts a response that is not the answer to the request at hand, by kind.
+	CountForeign(kind string)
 	// CountPermit counts the answer to a request for a permit.
 	CountPermit(answer string)
 	// CountRateLimit counts a change of the rate limit of an upstream.
