Soak: copies of earlier answers that break off before the next one

A fault of its own, upstream_repeats_broken_answers: what upstream_repeats_answers does, and each copy stops after a random byte.

--- a/cmd/cardload/soak_faults.go
+++ b/cmd/cardload/soak_faults.go
@@ -38,6 +38,7 @@
 	{"upstream_limits_connections", limitConnections},
 	{"upstream_resets_answers", resetAnswers},
 	{"upstream_repeats_answers", repeatAnswers},
+	{"upstream_repeats_broken_answers", repeatBrokenAnswers},
 }
 
 // soakFaults are the faults of a soak unless names are given.
--- a/cmd/cardload/soak_sockets.go
+++ b/cmd/cardload/soak_sockets.go
@@ -37,7 +37,16 @@
 // repeatAnswers makes an upstream turn requests away, and write some of its answers once more
 // where the next one is expected.
 func repeatAnswers(s *soak, random *rand.Rand, _ time.Duration) func() {
-	upstream := s.randomUpstream(random)
-	upstream.Repeat(host.Repetition{Refused: 0.6 * random.Float64(), Repeated: 0.3 * random.Float64(), Unnamed: random.Float64(), Random: random})
+	return repeat(s, host.Repetition{Refused: 0.6 * random.Float64(), Repeated: 0.3 * random.Float64(), Unnamed: random.Float64(), Random: random})
+}
+
+// repeatBrokenAnswers is repeatAnswers with copies that break off before the next answer.
+func repeatBrokenAnswers(s *soak, random *rand.Rand, _ time.Duration) func() {
+	return repeat(s, host.Repetition{Refused: 0.6 * random.Float64(), Repeated: 0.3 * random.Float64(), Unnamed: random.Float64(), Cut: 1, Random: random})
+}
+
+func repeat(s *soak, repetition host.Repetition) func() {
+	upstream := s.randomUpstream(repetition.Random)
+	upstream.Repeat(repetition)
 	return func() { upstream.Repeat(host.Repetition{}) }
 }
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -135,7 +135,7 @@
 			w.Header().Set("Request-Id", id)
 		}
 		if behaviour == FullLate || behaviour == UnnamedLate {
-			repeatRefusal(r, w.Header().Get("Request-Id"))
+			u.repeatRefusal(r, w.Header().Get("Request-Id"))
 		}
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/fakes/host/late.go
+++ b/fakes/host/late.go
@@ -26,6 +26,8 @@
 	Repeated float64
 	// Unnamed is the share of refusals, also repeated ones, without the request's id.
 	Unnamed float64
+	// Cut is the share of repeated answers that break off somewhere.
+	Cut float64
 	// Random draws them. It is used by this upstream alone.
 	Random *rand.Rand
 }
@@ -80,12 +82,12 @@
 
 // repeatRefusal makes the refusal of a request come once more, before the next response on its
 // connection. id is the request's id in it, empty for none.
-func repeatRefusal(r *http.Request, id string) {
+func (u *Upstream) repeatRefusal(r *http.Request, id string) {
 	name := ""
 	if id != "" {
 		name = "Request-Id: " + id + "\r\n"
 	}
-	repeatLate(r, "HTTP/1.1 503 Service Unavailable\r\n"+name+"Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	u.repeatLate(r, "HTTP/1.1 503 Service Unavailable\r\n"+name+"Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 // repeatAnswer makes the whole answer to a request come once more, before the next response on
@@ -95,10 +97,15 @@
 	if r.Header.Get("Model") != "" {
 		body = u.streamBody(r.Header.Get("Last-Event-Id"))
 	}
-	repeatLate(r, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: seal.%s\r\nContent-Length: %d\r\n\r\n%s", id, u.spec.ID, len(body), body))
+	u.repeatLate(r, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: seal.%s\r\nContent-Length: %d\r\n\r\n%s", id, u.spec.ID, len(body), body))
 }
 
-func repeatLate(r *http.Request, response string) {
+func (u *Upstream) repeatLate(r *http.Request, response string) {
+	u.mu.Lock()
+	if u.repetition.draw(u.repetition.Cut) {
+		response = response[:1+u.repetition.Random.IntN(len(response)-1)]
+	}
+	u.mu.Unlock()
 	if l, ok := r.Context().Value(lateKey{}).(*late); ok {
 		l.response = response
 	}
