--- a/cmd/cardload/soak_sockets.go
+++ b/cmd/cardload/soak_sockets.go
@@ -42,7 +42,7 @@
 
 // repeatBrokenAnswers is repeatAnswers with copies that break off before the next answer.
 func repeatBrokenAnswers(s *soak, random *rand.Rand, _ time.Duration) func() {
-	return repeat(s, host.Repetition{Refused: 0.6 * random.Float64(), Repeated: 0.3 * random.Float64(), Unnamed: random.Float64(), Cut: 1, Random: random})
+	return repeat(s, host.Repetition{Refused: 0.6 * random.Float64(), Repeated: 0.5 + 0.5*random.Float64(), Unnamed: random.Float64(), Cut: 1, Random: random})
 }
 
 func repeat(s *soak, repetition host.Repetition) func() {
