Read no response from the beginning of one and the header of another

What callers saw: 503 for requests that had run, and requests that ran twice (REFUSED, TWICE).

Cause: a faulty upstream wrote an earlier answer once more where the next one was expected, and the copy broke off in its header. The answer to the request at hand followed, and both were read as one response: the status or the Not-Run of the copy, with the id of the request at hand. That response says that this request has not run. It was sent again and ran twice, or, where the retry budget was spent, its caller got 503.

Evidence: relay, 'a late copy that breaks off before the answer', which breaks a copy off after each byte, fails before for a refusal without an id and a misdirected request (the request ran twice), and passes now.

Change: a response whose reason phrase or a header value contains a status line is invalid, so the request may have run: 502, or another try where it may run twice. Why it works: where a copy breaks off inside its status line or a value, the status line of the next answer becomes part of that text; anywhere else in the header it makes a line without a colon, which never was a valid header.

--- a/conns/head.go
+++ b/conns/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,26 @@
 	"github.com/rotisserie/eris"
 )
 
+// statusLine matches the start of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// findStatusLine returns the start of a status line inside a response's header, and whether
+// there is one: a response broke off in its header and another one follows, so that the header
+// belongs to neither.
+func findStatusLine(response *http.Response) (string, bool) {
+	if line := statusLine.FindString(response.Status); line != "" {
+		return line, true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if line := statusLine.FindString(value); line != "" {
+				return line, true
+			}
+		}
+	}
+	return "", false
+}
+
 // readHeader reads the header of the final response. It skips informational
 // (1xx) responses, except that 101 is an error, as no protocol switch is supported.
 func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
@@ -22,6 +43,9 @@
 		if err != nil {
 			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
 		}
+		if line, ok := findStatusLine(response); ok {
+			return nil, eris.Wrapf(ErrInvalidResponse, "its header contains the status line %q of another response", line)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
