--- a/cmd/cardload/soak.go
+++ b/cmd/cardload/soak.go
@@ -191,22 +191,6 @@
 	software int
 }
 
-// sentRequest is a request and its response as the caller saw them.
-type sentRequest struct {
-	kind     string
-	address  string
-	body     string
-	response host.Response
-	err      error
-	began    time.Time
-	ended    time.Time
-	answered bool
-	// part is the part of the prompt that crashes engines, empty for a sound request.
-	part string
-	// takenUp is set if the caller came back for the rest of a stream.
-	takenUp *takenUp
-}
-
 // soakRun describes one soak.
 type soakRun struct {
 	program string
@@ -349,14 +333,6 @@
 	}
 }
 
-// callerCount returns the number of callers that send one request at a time.
-func (s *soak) callerCount() int {
-	if s.load != nil {
-		return 0
-	}
-	return soakCallers
-}
-
 // runCaller sends requests until ctx ends. It keeps its connections as long as it
 // uses the same address.
 func (s *soak) runCaller(ctx context.Context, caller int, random *rand.Rand) {
@@ -385,13 +361,9 @@
 			}
 		}
 		e := &sentRequest{kind: kind, address: address, body: request.Body, began: time.Now()}
-		s.mu.Lock()
-		s.sent[request.ID] = e
-		s.mu.Unlock()
+		s.recordSent(request.ID, e)
 		response, err := session.Send(context.WithoutCancel(ctx), request)
-		s.mu.Lock()
-		e.response, e.err, e.ended, e.answered = response, err, time.Now(), err == nil
-		s.mu.Unlock()
+		s.recordAnswer(e, response, err)
 		if err != nil {
 			address = ""
 		}
--- a/cmd/cardload/soak_load.go
+++ b/cmd/cardload/soak_load.go
@@ -95,6 +95,14 @@
 	return specs
 }
 
+// callerCount returns the number of callers that send one request at a time.
+func (s *soak) callerCount() int {
+	if s.load != nil {
+		return 0
+	}
+	return soakCallers
+}
+
 // sendLoad sends the requests of the load until ctx ends, and returns when all have ended.
 func (s *soak) sendLoad(ctx context.Context) {
 	callers := make([]*loadCaller, soakLoadCallers)
@@ -168,13 +176,9 @@
 			request.Model = model
 		}
 		e := &sentRequest{kind: kind.path, address: request.Address, body: request.Body, began: time.Now()}
-		s.mu.Lock()
-		s.sent[request.ID] = e
-		s.mu.Unlock()
+		s.recordSent(request.ID, e)
 		response, err := c.session.Send(context.WithoutCancel(ctx), request)
-		s.mu.Lock()
-		e.response, e.err, e.ended, e.answered = response, err, time.Now(), err == nil
-		s.mu.Unlock()
+		s.recordAnswer(e, response, err)
 		if err != nil || !isPromise(response.Status) || !c.impatient && !sleep.For(ctx, response.RetryAfter) {
 			return
 		}
--- a/cmd/cardload/soak_parts.go
+++ b/cmd/cardload/soak_parts.go
@@ -54,14 +54,10 @@
 	request := host.Request{ID: fmt.Sprintf("s%d-%s-%d", s.seed, part, n), Path: kind + "x", Address: address, Model: soakModels[random.IntN(len(soakModels))]}
 	request.Body, request.Prefix = "body of "+request.ID, fmt.Sprintf("%sown%s:5", prefix, request.ID)
 	e := &sentRequest{kind: kind, address: address, body: request.Body, part: part, began: time.Now()}
-	s.mu.Lock()
-	s.sent[request.ID] = e
-	s.mu.Unlock()
+	s.recordSent(request.ID, e)
 	s.partCallers.Go(func() {
 		response, err := s.site.Send(context.Background(), request)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		e.response, e.err, e.ended, e.answered = response, err, time.Now(), err == nil
+		s.recordAnswer(e, response, err)
 	})
 }
 
--- a/cmd/cardload/soak_versions.go
+++ b/cmd/cardload/soak_versions.go
@@ -83,9 +83,7 @@
 		s.sent[next.ID] = e
 		s.mu.Unlock()
 		response, err := s.site.Send(context.WithoutCancel(ctx), next)
-		s.mu.Lock()
-		e.response, e.err, e.ended, e.answered = response, err, time.Now(), err == nil
-		s.mu.Unlock()
+		s.recordAnswer(e, response, err)
 		if err == nil && response.Status == http.StatusOK && response.Complete {
 			return
 		}
