--- a/fakes/host/late.go
+++ b/fakes/host/late.go
@@ -44,11 +44,11 @@
 	return context.WithValue(ctx, lateKey{}, &late{connection: connection})
 }
 
-// apply returns the behaviour for a request that the script gives another one, or that is to
-// be refused.
-func (r Repetition) apply(scripted Behaviour, refused bool) Behaviour {
+// apply returns the behaviour for a request: the scripted one, unless there is no place for the
+// request, or it is drawn to be refused or to have its answer repeated.
+func (r Repetition) apply(scripted Behaviour, full bool) Behaviour {
 	switch {
-	case refused:
+	case full:
 		return r.drawRefusal()
 	case scripted != Answer:
 		return scripted
@@ -100,6 +100,7 @@
 	u.repeatLate(r, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: seal.%s\r\nContent-Length: %d\r\n\r\n%s", id, u.spec.ID, len(body), body))
 }
 
+// repeatLate makes a response, or its beginning, come before the next one on the connection.
 func (u *Upstream) repeatLate(r *http.Request, response string) {
 	u.mu.Lock()
 	if u.repetition.draw(u.repetition.Cut) {
