Stand-in: write a late copy once the request at hand has begun to run

Traced: the stand-in wrote the copy before it read the request's body; the relay answers 502 at the copy and closes the connection, and the stand-in then found the body cut and did not run the request. A 502 for a request that has not run is allowed, so the check was right for the case it names, and the stand-in raced.

--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -84,6 +84,7 @@
 	if values := u.retryAfter; len(values) > 0 {
 		u.recordTurned(r.Header.Get("Request-Id"))
 		u.mu.Unlock()
+		writeLate(r)
 		turnAway(w, values)
 		return
 	}
@@ -104,6 +105,8 @@
 		u.runs = append(u.runs, Run{ID: r.Header.Get("Request-Id"), Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	}
 	u.mu.Unlock()
+	// Whoever reads the late response may close the connection, but the request has run by then.
+	writeLate(r)
 	u.apply(behaviour, w, r)
 }
 
--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -131,12 +131,13 @@
 		u.disk[model] = true
 	}
 	u.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeLate(r)
 		// A ServeMux would clean paths and redirect.
 		switch r.Method + " " + r.RequestURI {
 		case "GET /report":
+			writeLate(r)
 			u.report(w, r)
 		case "POST /order":
+			writeLate(r)
 			u.order(w, r)
 		default:
 			u.serve(w, r)
