--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -190,3 +191,20 @@
 	}
 	return request
 }
+
+// listenWith starts an upstream that handles each connection with serve, and returns its address.
+func listenWith(serve func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/relay/garbled_test.go
+++ b/relay/garbled_test.go
@@ -110,19 +110,8 @@
 			seed := GinkgoRandomSeed()
 			w := newFixture(coord.AwaitResult{})
 			upstream := &garbling{random: rand.New(rand.NewPCG(uint64(seed), 1)), runs: make(map[string]int), misdirects: model == ""}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(listener.Close)
-			go func() {
-				for {
-					c, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go upstream.serve(c)
-				}
-			}()
-			w.upstreams[0].Address, w.upstreams[1].Address = listener.Addr().String(), listener.Addr().String()
+			address := listenWith(upstream.serve)
+			w.upstreams[0].Address, w.upstreams[1].Address = address, address
 			statuses := make(map[int]int)
 			var group sync.WaitGroup
 			callers := make(chan struct{}, garbledCallers)
--- a/relay/late_test.go
+++ b/relay/late_test.go
@@ -79,19 +79,7 @@
 			for length := 1; length < len(whole); length++ {
 				w := newFixture(coord.AwaitResult{})
 				upstream := &repeating{copied: whole[:length], runs: make(map[string]int)}
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				Expect(err).NotTo(HaveOccurred())
-				DeferCleanup(listener.Close)
-				go func() {
-					for {
-						c, err := listener.Accept()
-						if err != nil {
-							return
-						}
-						go upstream.serve(c)
-					}
-				}()
-				w.upstreams[0].Address = listener.Addr().String()
+				w.upstreams[0].Address = listenWith(upstream.serve)
 				for n := range 2 {
 					response, err := http.DefaultClient.Do(w.newRequest("/once/x", "", map[string]string{"Request-Id": fmt.Sprintf("r-%d", n)}))
 					Expect(err).NotTo(HaveOccurred())
