--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	standin2 slow-reader RECORD
+//	standin2 foreign-entry RECORD
 //
 // It is run in the root of the repository. The environment variable TROUBLE=0 leaves the
 // disruption out. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
@@ -22,7 +23,8 @@
 }
 
 var cases = map[string]func(log *record, trouble bool) (outcome, error){
-	"slow-reader": slowReader,
+	"slow-reader":   slowReader,
+	"foreign-entry": foreignEntry,
 }
 
 func main() {
