--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,7 @@
 //
 //	standin2 slow-reader RECORD
 //	standin2 foreign-entry RECORD
+//	standin2 long-stream RECORD
 //
 // It is run in the root of the repository. The environment variable TROUBLE=0 leaves the
 // disruption out. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
@@ -25,6 +26,7 @@
 var cases = map[string]func(log *record, trouble bool) (outcome, error){
 	"slow-reader":   slowReader,
 	"foreign-entry": foreignEntry,
+	"long-stream":   longStream,
 }
 
 func main() {
