--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,7 @@
 //	standin2 slow-reader RECORD
 //	standin2 foreign-entry RECORD
 //	standin2 long-stream RECORD
+//	standin2 popular-request RECORD
 //
 // It is run in the root of the repository. The environment variable TROUBLE=0 leaves the
 // disruption out. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
@@ -24,9 +25,10 @@
 }
 
 var cases = map[string]func(log *record, trouble bool) (outcome, error){
-	"slow-reader":   slowReader,
-	"foreign-entry": foreignEntry,
-	"long-stream":   longStream,
+	"slow-reader":     slowReader,
+	"foreign-entry":   foreignEntry,
+	"long-stream":     longStream,
+	"popular-request": popularRequest,
 }
 
 func main() {
