--- a/fakes/host/engine.go
+++ b/fakes/host/engine.go
@@ -256,7 +256,7 @@
 	u.heartbeats++
 	value, err := json.Marshal(map[string]any{
 		"service": u.spec.Service, "address": u.Address(), "zone": u.spec.DataCentre, "version": cmp.Or(u.spec.Version, "v1"), "slots": u.spec.Slots,
-		"state": u.state, "seq": u.heartbeats, "born": u.startedMS, "models": u.models(), "atHand": u.localModels(),
+		"state": u.state, "coldRemainingMs": 0, "seq": u.heartbeats, "born": u.startedMS, "models": u.models(), "atHand": u.localModels(),
 	})
 	u.mu.Unlock()
 	if err == nil {
