--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -70,6 +70,8 @@
 type wireSuspect struct {
 	Fingerprint uint64   `json:"fingerprint"`
 	Deaths      []string `json:"deaths"`
+	Survived    []string `json:"survived,omitempty"`
+	Proven      bool     `json:"proven,omitempty"`
 }
 
 // maxStoredSuspects bounds the suspects in the lease row, which is written at each
@@ -118,7 +120,7 @@
 func encodeStoredSuspects(suspects []poison.Suspect) []wireSuspect {
 	stored := make([]wireSuspect, 0, min(len(suspects), maxStoredSuspects))
 	for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
-		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths()})
+		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: suspect.Outlived(), Proven: suspect.Proven()})
 	}
 	return stored
 }
@@ -126,7 +128,7 @@
 func decodeStoredSuspects(stored []wireSuspect, now time.Time) []poison.Suspect {
 	suspects := make([]poison.Suspect, 0, len(stored))
 	for _, wire := range stored {
-		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, now.Add(suspectRetention)))
+		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, now.Add(suspectRetention)).Outliving(wire.Survived, wire.Proven))
 	}
 	return suspects
 }
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -204,7 +204,7 @@
 func encodeSuspects(suspects []poison.Suspect) []*syncpb.Suspect {
 	list := make([]*syncpb.Suspect, 0, len(suspects))
 	for _, suspect := range suspects {
-		list = append(list, &syncpb.Suspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths()})
+		list = append(list, &syncpb.Suspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: suspect.Outlived(), Proven: suspect.Proven()})
 	}
 	return list
 }
@@ -212,7 +212,7 @@
 func decodeSuspects(list []*syncpb.Suspect, now time.Time) []poison.Suspect {
 	suspects := make([]poison.Suspect, 0, len(list))
 	for _, wire := range list {
-		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.GetFingerprint()), wire.GetDeaths(), now.Add(suspectRetention)))
+		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.GetFingerprint()), wire.GetDeaths(), now.Add(suspectRetention)).Outliving(wire.GetSurvived(), wire.GetProven()))
 	}
 	return suspects
 }
--- a/coord/suspects_internal_test.go
+++ b/coord/suspects_internal_test.go
@@ -29,6 +29,37 @@
 		Expect(after.state.ledger.Verdict(9, now)).To(Equal(poison.Clean))
 	})
 
+	It("are served after all instances have started again if they were answered since", func() {
+		now := time.Now()
+		before := newLoop("a", site.OrderAccepted)
+		before.becomeCoordinator()
+		for _, name := range []string{"x/1", "y/1"} {
+			before.state.ledger.RecordDeath(7, name, now)
+			before.state.ledger.RecordDeath(8, name, now)
+		}
+		before.state.ledger.RecordSurvival(7)
+		value := before.encodeLease(lease.Row{Holder: "a", Address: "a:2"})
+		after := newLoop("b", site.OrderAccepted)
+		after.state.ledger.RecordDeath(7, "x/1", now)
+		after.decodeLease(table.NewRow(leaseKey, value, 9))
+		Expect(after.state.ledger.Verdict(7, now)).To(Equal(poison.Clean))
+		Expect(after.state.ledger.Verdict(8, now)).To(Equal(poison.Refused))
+	})
+
+	It("are told to other instances as answered", func() {
+		now := time.Now()
+		here, there := poison.New(), poison.New()
+		here.RecordDeath(7, "x/1", now)
+		here.RecordSurvival(7)
+		there.RecordDeath(7, "x/1", now)
+		there.Merge(decodeSuspects(encodeSuspects(here.Suspects(now)), now), now)
+		Expect(there.Verdict(7, now)).To(Equal(poison.Clean))
+		for _, name := range []string{"y/1", "z/1"} {
+			there.RecordDeath(7, name, now)
+		}
+		Expect(there.Verdict(7, now)).To(Equal(poison.Suspected))
+	})
+
 	It("take a bounded part of the lease row, those with the most deaths first", func() {
 		now := time.Now()
 		l := newLoop("a", site.OrderAccepted)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -4,7 +4,9 @@
 // A fingerprint, a hash of a request's model and body, is suspected when an upstream
 // died while running a request with it. A suspected request runs on an upstream that runs no other suspected
 // request, so that the next death has a single suspect. A fingerprint with two
-// deaths is refused until its record expires.
+// deaths is refused until its record expires. A request that is answered clears its
+// fingerprint of all deaths so far, and from then on four deaths are needed: callers may share
+// a request, such as one for a page, and upstreams that end for other causes have it in flight.
 //
 // A shared part of prompts is suspected when an upstream died before a request with the
 // part got the first event of its answer, and refused after three such deaths. A request
@@ -16,6 +18,7 @@
 //	ledger := poison.New()
 //	ledger.RecordDeath(fingerprint, "i-3/17", now)
 //	if ledger.Verdict(fingerprint, now) == poison.Refused { ... }
+//	ledger.RecordSurvival(fingerprint)
 //
 //	parts := poison.NewParts()
 //	parts.Survived("muse-models", []string{"5c1e07a2"}, now)
@@ -25,6 +28,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -47,8 +51,15 @@
 )
 
 const (
-	// refuseAfter is the number of deaths after which a fingerprint is refused.
-	refuseAfter = 2
+	// refuseAfter is the number of deaths after which a fingerprint is refused, and
+	// refuseProvenAfter that for one whose requests have been answered.
+	refuseAfter       = 2
+	refuseProvenAfter = 4
+	// maxOutlived bounds the deaths that are remembered as outlived. Older ones are no longer told
+	// by anyone.
+	maxOutlived = 32
+	// maxAnswered bounds each of the two generations of fingerprints that were answered.
+	maxAnswered = 4096
 	// suspectTTL is how long a suspect is kept after the last death recorded for it.
 	suspectTTL = 10 * time.Minute
 	// maxSuspects bounds the ledger.
@@ -59,8 +70,13 @@
 // it, each named by its upstream and its incarnation or start time.
 type Suspect struct {
 	fingerprint Fingerprint
-	deaths      []string
-	expires     time.Time
+	// deaths are those since a request with the fingerprint was last answered, outlived some of
+	// those before, the latest last.
+	deaths   []string
+	outlived []string
+	// proven means that requests with the fingerprint have been answered.
+	proven  bool
+	expires time.Time
 }
 
 // NewSuspect returns a suspect received from another instance.
@@ -68,12 +84,26 @@
 	return Suspect{fingerprint: fingerprint, deaths: deaths, expires: expires}
 }
 
+// Outliving returns the suspect with the deaths before a request with its fingerprint was last
+// answered, and whether any was.
+func (s Suspect) Outliving(outlived []string, proven bool) Suspect {
+	s.outlived, s.proven = outlived, proven
+	return s
+}
+
 // Fingerprint returns the request's fingerprint.
 func (s Suspect) Fingerprint() Fingerprint { return s.fingerprint }
 
-// Deaths returns the upstream processes that died, sorted.
+// Deaths returns the upstream processes that died since a request with the fingerprint was last
+// answered, sorted.
 func (s Suspect) Deaths() []string { return s.deaths }
 
+// Outlived returns upstream processes that died before that.
+func (s Suspect) Outlived() []string { return s.outlived }
+
+// Proven reports whether requests with the fingerprint have been answered.
+func (s Suspect) Proven() bool { return s.proven }
+
 // Expires returns when the suspect is removed.
 func (s Suspect) Expires() time.Time { return s.expires }
 
@@ -81,6 +111,9 @@
 type Ledger struct {
 	mu       sync.Mutex
 	suspects map[Fingerprint]Suspect
+	// answered and olderAnswered are two generations of fingerprints that were answered here.
+	answered      map[Fingerprint]struct{}
+	olderAnswered map[Fingerprint]struct{}
 	// revision grows with each death that is new to the ledger.
 	revision uint64
 	onDeath  func()
@@ -88,7 +121,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{suspects: make(map[Fingerprint]Suspect), onDeath: func() {}}
+	return &Ledger{suspects: make(map[Fingerprint]Suspect), answered: make(map[Fingerprint]struct{}), onDeath: func() {}}
 }
 
 // OnDeath sets a function that is called when this instance has seen a death.
@@ -115,8 +148,33 @@
 	notify()
 }
 
+// RecordSurvival records that a request with the fingerprint was answered: the upstreams that
+// died with it so far had another cause.
+func (l *Ledger) RecordSurvival(fingerprint Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.answered[fingerprint]; !ok && len(l.answered) >= maxAnswered {
+		l.answered, l.olderAnswered = make(map[Fingerprint]struct{}), l.answered
+	}
+	l.answered[fingerprint] = struct{}{}
+	if known, ok := l.suspects[fingerprint]; ok && (len(known.deaths) > 0 || !known.proven) {
+		known.outlived, known.deaths, known.proven = latest(known.outlived, known.deaths), nil, true
+		l.suspects[fingerprint] = known
+	}
+}
+
+// wasAnswered reports whether a request with the fingerprint was answered here, as far as that
+// is remembered.
+func (l *Ledger) wasAnswered(fingerprint Fingerprint) bool {
+	_, ok := l.answered[fingerprint]
+	if !ok {
+		_, ok = l.olderAnswered[fingerprint]
+	}
+	return ok
+}
+
 // Merge adds suspects received from another instance. A death that is received
-// twice counts once.
+// twice counts once, and one that any instance knows to be outlived not at all.
 func (l *Ledger) Merge(suspects []Suspect, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,8 +187,10 @@
 			l.removeExpired(now)
 		}
 		known.fingerprint = suspect.fingerprint
+		known.proven = known.proven || suspect.proven || l.wasAnswered(suspect.fingerprint)
+		known.outlived = latest(known.outlived, suspect.outlived)
 		before := len(known.deaths)
-		if known.deaths = union(known.deaths, suspect.deaths); len(known.deaths) > before {
+		if known.deaths = unexplained(known, suspect.deaths); len(known.deaths) > before {
 			l.revision++
 		}
 		if suspect.expires.After(known.expires) {
@@ -146,9 +206,9 @@
 	defer l.mu.Unlock()
 	suspect, ok := l.suspects[fingerprint]
 	switch {
-	case !ok || !suspect.expires.After(now):
+	case !ok || !suspect.expires.After(now) || len(suspect.deaths) == 0:
 		return Clean
-	case len(suspect.deaths) >= refuseAfter:
+	case len(suspect.deaths) >= refuseProvenAfter || len(suspect.deaths) >= refuseAfter && !suspect.proven:
 		return Refused
 	default:
 		return Suspected
@@ -192,20 +252,24 @@
 	}
 }
 
-// union returns the sorted union, cut to refuseAfter names, as further deaths don't
-// change the verdict.
-func union(known, added []string) []string {
-	set := make(map[string]bool, len(known)+len(added))
-	for _, name := range known {
-		set[name] = true
-	}
+// unexplained returns the sorted union of a suspect's deaths and others, without those that are
+// outlived. It has refuseProvenAfter at most, as further deaths don't change the verdict.
+func unexplained(s Suspect, added []string) []string {
+	names := slices.Concat(s.deaths, added)
+	names = slices.DeleteFunc(names, func(name string) bool { return slices.Contains(s.outlived, name) })
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return names[:min(len(names), refuseProvenAfter)]
+}
+
+// latest returns the names with others added at the end, without the first ones if there are more
+// than maxOutlived.
+func latest(names, added []string) []string {
+	list := slices.Clone(names)
 	for _, name := range added {
-		set[name] = true
-	}
-	names := make([]string, 0, len(set))
-	for name := range set {
-		names = append(names, name)
+		if !slices.Contains(list, name) {
+			list = append(list, name)
+		}
 	}
-	sort.Strings(names)
-	return names[:min(len(names), refuseAfter)]
+	return list[max(0, len(list)-maxOutlived):]
 }
--- a/relay/death.go
+++ b/relay/death.go
@@ -41,6 +41,7 @@
 	if x.viaHop {
 		return
 	}
+	x.server.Ledger.RecordSurvival(x.fingerprint)
 	x.logParts(x.server.Parts.Survived(x.service, x.info.SharedParts, clock.Now()))
 }
 
