--- a/coord/loop.go
+++ b/coord/loop.go
@@ -275,11 +275,25 @@
 	l.state.catalog, l.state.document, l.state.packed = catalog, document, nil
 	l.viewChanged = true
 	l.logger.Info("catalog_changed", "version", catalog.Version(), "origin", origin)
+	l.allowStreams(catalog)
 	if l.term != nil {
 		l.term.setCatalog(catalog)
 	}
 }
 
+// allowStreams records for how long the catalog lets streams last that callers may take up.
+func (l *Loop) allowStreams(catalog *site.Catalog) {
+	for _, route := range catalog.Routes() {
+		if route.Kind != site.Streaming || !route.Resumable {
+			continue
+		}
+		l.options.Origins.Allow(route.Timeout)
+		for _, share := range route.Shares {
+			l.state.history.Allow(share.Service, route.Timeout)
+		}
+	}
+}
+
 // setUpstream adds or updates an upstream.
 func (l *Loop) setUpstream(upstream *site.Upstream, origin string) {
 	known, ok := l.state.upstreams[upstream.ID]
--- a/origin/book.go
+++ b/origin/book.go
@@ -44,6 +44,8 @@
 type Book struct {
 	mu      sync.Mutex
 	entries *simplelru.LRU[Stream, *entry]
+	// lifetime is how long a stream may last.
+	lifetime time.Duration
 }
 
 // NewBook returns an empty book.
@@ -52,7 +54,15 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Book{entries: entries}
+	return &Book{entries: entries, lifetime: Lifetime}
+}
+
+// Allow records that streams may last for so long from now on. Those that began when they
+// might last longer still may.
+func (b *Book) Allow(lifetime time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lifetime = max(b.lifetime, lifetime)
 }
 
 // Begin records that an instance is about to pass on the first event of a stream's
@@ -70,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, record := range records {
-		if record.Knowledge != Unknown && now.Sub(record.At) < Lifetime {
+		if record.Knowledge != Unknown && now.Sub(record.At) < b.lifetime {
 			b.add(record, now)
 		}
 	}
@@ -79,7 +89,7 @@
 // add merges a record into that of its stream.
 func (b *Book) add(record Record, now time.Time) *entry {
 	known, ok := b.entries.Get(record.Stream)
-	if !ok || now.Sub(known.At) >= Lifetime {
+	if !ok || now.Sub(known.At) >= b.lifetime {
 		known = &entry{Record: record}
 		b.entries.Add(record.Stream, known)
 		return known
@@ -98,7 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.entries.Peek(stream)
-	if !ok || now.Sub(known.At) >= Lifetime {
+	if !ok || now.Sub(known.At) >= b.lifetime {
 		return Origin{}, Unknown
 	}
 	return known.Origin, known.Knowledge
@@ -110,7 +120,7 @@
 	defer b.mu.Unlock()
 	var list []Record
 	for _, stream := range streams {
-		if known, ok := b.entries.Peek(stream); ok && now.Sub(known.At) < Lifetime {
+		if known, ok := b.entries.Peek(stream); ok && now.Sub(known.At) < b.lifetime {
 			list = append(list, known.Record)
 		}
 	}
@@ -125,7 +135,7 @@
 	var list []Record
 	keys := b.entries.Keys()
 	for i := len(keys) - 1; i >= 0; i-- {
-		if known, ok := b.entries.Peek(keys[i]); ok && known.own && now.Sub(known.At) < Lifetime {
+		if known, ok := b.entries.Peek(keys[i]); ok && known.own && now.Sub(known.At) < b.lifetime {
 			list = append(list, known.Record)
 		}
 	}
--- a/origin/history.go
+++ b/origin/history.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
@@ -11,9 +12,6 @@
 	// bridges. A version that came and went within it would have to be listed, loaded with
 	// a model and used by instances that all ended since.
 	maxHistoryGap = 30 * time.Second
-	// rememberedFor is how long after its last listing a version may have begun a stream
-	// whose caller comes back: instances whose listing is old may have used it longer.
-	rememberedFor = Lifetime + maxHistoryGap
 	// maxListingAge is the age of the last listing from which a history doesn't know
 	// whether there is another version by now. At the target size lists are up to 2.2 s old.
 	maxListingAge = 3 * time.Second
@@ -52,6 +50,8 @@
 	// confirmed is when the upstreams were last listed, zero if never.
 	confirmed time.Time
 	seen      map[cardamom.ServiceID]map[string]span
+	// lifetimes are how long streams of a service may last, where that is longer than Lifetime.
+	lifetimes map[cardamom.ServiceID]time.Duration
 	// settled means that the history of others has been merged, or that there is none.
 	settled bool
 }
@@ -64,7 +64,21 @@
 
 // NewHistory returns the history of an instance that knows nothing.
 func NewHistory() *History {
-	return &History{seen: make(map[cardamom.ServiceID]map[string]span)}
+	return &History{seen: make(map[cardamom.ServiceID]map[string]span), lifetimes: make(map[cardamom.ServiceID]time.Duration)}
+}
+
+// Allow records that streams of a service may last for so long from now on. Those that began
+// when they might last longer still may.
+func (h *History) Allow(service cardamom.ServiceID, lifetime time.Duration) {
+	if lifetime > max(Lifetime, h.lifetimes[service]) {
+		h.lifetimes[service] = lifetime
+	}
+}
+
+// rememberedFor is how long after its last listing a version may have begun a stream whose
+// caller comes back: instances whose listing is old may have used it longer.
+func (h *History) rememberedFor(service cardamom.ServiceID) time.Duration {
+	return max(Lifetime, h.lifetimes[service]) + maxHistoryGap
 }
 
 // Start records that the deployment has just started, so that there was no version before.
@@ -109,7 +123,7 @@
 	}
 	for service, versions := range h.seen {
 		for version, seen := range versions {
-			if at.Sub(seen.last) > rememberedFor {
+			if at.Sub(seen.last) > h.rememberedFor(service) {
 				delete(versions, version)
 			}
 		}
@@ -141,7 +155,7 @@
 	account := Account{Since: h.since, Confirmed: h.confirmed}
 	for service, versions := range h.seen {
 		for version, seen := range versions {
-			if now.Sub(seen.last) < rememberedFor {
+			if now.Sub(seen.last) < h.rememberedFor(service) {
 				account.Sightings = append(account.Sightings, Sighting{service, version, seen.first, seen.last})
 			}
 		}
@@ -154,13 +168,13 @@
 
 // Snapshot returns the history as it is now.
 func (h *History) Snapshot() *Snapshot {
-	s := &Snapshot{since: h.since, confirmed: h.confirmed, settled: h.settled, sole: make(map[cardamom.ServiceID]string), first: make(map[cardamom.ServiceID]map[string]time.Time)}
+	s := &Snapshot{since: h.since, confirmed: h.confirmed, settled: h.settled, sole: make(map[cardamom.ServiceID]string), first: make(map[cardamom.ServiceID]map[string]time.Time), lifetimes: maps.Clone(h.lifetimes)}
 	for service, versions := range h.seen {
 		recent := 0
 		first := make(map[string]time.Time, len(versions))
 		for version, seen := range versions {
 			first[version] = seen.first
-			if h.confirmed.Sub(seen.last) < rememberedFor {
+			if h.confirmed.Sub(seen.last) < h.rememberedFor(service) {
 				recent++
 				s.sole[service] = version
 			}
@@ -181,13 +195,14 @@
 	// sole has the services with one version only.
 	sole map[cardamom.ServiceID]string
 	// first is when each version was first listed.
-	first map[cardamom.ServiceID]map[string]time.Time
+	first     map[cardamom.ServiceID]map[string]time.Time
+	lifetimes map[cardamom.ServiceID]time.Duration
 }
 
 // Sole returns the version that began every stream of a service whose caller may still come
 // back, and false if there may be several.
 func (s *Snapshot) Sole(service cardamom.ServiceID, now time.Time) (string, bool) {
-	if s == nil || s.confirmed.IsZero() || now.Sub(s.confirmed) > maxListingAge || !s.since.IsZero() && now.Sub(s.since) < Lifetime {
+	if s == nil || s.confirmed.IsZero() || now.Sub(s.confirmed) > maxListingAge || !s.since.IsZero() && now.Sub(s.since) < max(Lifetime, s.lifetimes[service]) {
 		return "", false
 	}
 	version, ok := s.sole[service]
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -12,6 +12,9 @@
 //	stream := origin.NewStream("muse-models", request.ID)
 //	book.Begin(stream, origin.New(run, upstream.Version), now)
 //
+//	history.Allow("muse-models", route.Timeout) // streams may last longer than Lifetime
+//	book.Allow(route.Timeout)
+//
 //	found, knowledge := book.Find(stream, now)
 //	if knowledge == origin.Unknown {
 //	    version, ok := history.Snapshot().Sole("muse-models", now)
@@ -31,7 +34,7 @@
 )
 
 // Lifetime is how long after its first event the caller of a stream may come back to take
-// it up: the longest time that a request may last.
+// it up, unless streams may last longer: the longest time that a request may last.
 const Lifetime = time.Minute
 
 // Stream identifies a stream by its service and the request whose response brought its
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -49,11 +49,13 @@
 
 // bookStep begins a stream, records what another instance tells, or looks one up.
 type bookStep struct {
-	AtS       float64 `json:"at_s"`
-	Begin     string  `json:"begin"`
-	Told      string  `json:"told"`
-	AgeS      float64 `json:"age_s"`
-	Disputed  bool    `json:"disputed"`
+	AtS      float64 `json:"at_s"`
+	Begin    string  `json:"begin"`
+	Told     string  `json:"told"`
+	AgeS     float64 `json:"age_s"`
+	Disputed bool    `json:"disputed"`
+	// LastsS is how long streams may last from now on.
+	LastsS    float64 `json:"lasts_s"`
 	Service   string  `json:"service"`
 	Version   string  `json:"version"`
 	Find      string  `json:"find"`
@@ -71,6 +73,8 @@
 			for n, step := range script.Steps {
 				service, now := cardamom.ServiceID(step.Service), at(step.AtS)
 				switch {
+				case step.LastsS > 0:
+					book.Allow(at(step.LastsS).Sub(zero))
 				case step.Begin != "":
 					book.Begin(origin.NewStream(service, step.Begin), origin.New(run, step.Version), now)
 				case step.Told != "":
@@ -137,6 +141,11 @@
 		Seen       map[string]float64 `json:"seen"`
 	} `json:"account"`
 	Sole *string `json:"sole"`
+	// LastsS is how long streams may last from now on.
+	LastsS float64 `json:"lasts_s"`
+	// Begins and Waits are versions at which streams may begin, and may not yet.
+	Begins string `json:"begins"`
+	Waits  string `json:"waits"`
 }
 
 var _ = Describe("the history of versions", func() {
@@ -160,6 +169,14 @@
 						account.Sightings = append(account.Sightings, origin.Sighting{Service: "s", Version: version, First: at(seen), Last: at(seen)})
 					}
 					history.Merge(account)
+				case step.LastsS > 0:
+					history.Allow("s", at(step.LastsS).Sub(zero))
+				case step.Begins != "":
+					may, _ := history.Snapshot().MayBegin("s", step.Begins, now)
+					Expect(may).To(BeTrue(), "step %d", n+1)
+				case step.Waits != "":
+					may, _ := history.Snapshot().MayBegin("s", step.Waits, now)
+					Expect(may).To(BeFalse(), "step %d", n+1)
 				case step.Sole != nil:
 					version, _ := history.Snapshot().Sole("s", now)
 					Expect(version).To(Equal(*step.Sole), "step %d", n+1)
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -152,6 +152,16 @@
 	return w
 }
 
+// setTimeout makes the view's catalog have streams with a timeout of their route.
+func (w *fixture) setTimeout(timeout time.Duration) {
+	route, ok := w.catalog.Match("h.example", "/stream/")
+	Expect(ok).To(BeTrue())
+	copied := *route
+	copied.Timeout = timeout
+	services := []site.Service{{Name: "models", Engine: &site.EngineSpec{Models: map[cardamom.ModelID]site.Model{"m": {Name: "m"}}}}}
+	w.views.view.Store(coord.NewView(site.NewCatalog(w.catalog.Version()+1, []site.Route{copied}, services, w.catalog.Limits()), w.upstreams, nil))
+}
+
 // setTargetGap makes the view's catalog have streams with a target gap, whose events hold so
 // many tokens.
 func (w *fixture) setTargetGap(gap time.Duration, eventTokens int) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,9 +44,9 @@
 )
 
 const (
-	// maxRequestTime bounds every request, also where its caller and its route set
-	// no deadline. Callers may take a stream up for as long.
-	maxRequestTime = origin.Lifetime
+	// defaultRequestTime bounds requests whose route sets no timeout. Callers may take a stream
+	// up for as long.
+	defaultRequestTime = origin.Lifetime
 	// defaultBodyBytes bounds request bodies where the catalog sets no limit.
 	defaultBodyBytes = 4 << 20
 	// defaultBodyStall is how long a body may stand still where no setting says so.
@@ -289,13 +289,13 @@
 // deadline returns the request's deadline: the caller's or the route's, whichever
 // is first.
 func (x *exchange) deadline() time.Time {
-	limit := maxRequestTime
+	limit := defaultRequestTime
+	if x.route.Timeout > 0 {
+		limit = x.route.Timeout
+	}
 	if x.info.Deadline > 0 {
 		limit = min(limit, x.info.Deadline)
 	}
-	if x.route.Timeout > 0 {
-		limit = min(limit, x.route.Timeout)
-	}
 	return x.arrived.Add(limit)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -112,6 +112,30 @@
 		Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 20000)))
 	})
 
+	DescribeTable("gives a request as long as its route and its caller allow",
+		func(timeout, deadline, most time.Duration) {
+			w := newFixture(coord.AwaitResult{})
+			w.setTimeout(timeout)
+			header := map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}
+			if deadline == 0 {
+				header["Deadline-Ms"] = ""
+			}
+			response, err := http.DefaultClient.Do(w.newRequest("/stream/x", "m", header))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			left := 0
+			_, err = fmt.Sscan(w.runs()[0].Header.Get("Deadline-Ms"), &left)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(time.Duration(left) * time.Millisecond).To(And(BeNumerically("<=", most), BeNumerically(">", most-5*time.Second)))
+		},
+		Entry("both more than a minute", 110*time.Second, 110*time.Second, 110*time.Second),
+		Entry("the caller less than the route", 110*time.Second, 20*time.Second, 20*time.Second),
+		Entry("the route less than the caller", 20*time.Second, 110*time.Second, 20*time.Second),
+		Entry("no deadline of the caller", 110*time.Second, time.Duration(0), 110*time.Second),
+		Entry("no timeout of the route", time.Duration(0), 110*time.Second, time.Minute),
+		Entry("neither", time.Duration(0), time.Duration(0), time.Minute),
+	)
+
 	It("resets the connection of an HTTP/1.0 caller whose stream it aborts", func() {
 		w := newFixture(coord.AwaitResult{})
 		w.script([]host.Behaviour{host.Cut})
