--- a/origin/history.go
+++ b/origin/history.go
@@ -62,6 +62,22 @@
 	last  time.Time
 }
 
+// join returns the span from the first to the last listing of both. A version that was listed
+// again after more than maxHistoryGap is new to instances that have forgotten it, so that its
+// first listing is the first one after that.
+func (s span) join(other span) span {
+	if other.first.Before(s.first) {
+		s, other = other, s
+	}
+	if other.first.Sub(s.last) > maxHistoryGap {
+		return other
+	}
+	if other.last.After(s.last) {
+		s.last = other.last
+	}
+	return s
+}
+
 // NewHistory returns the history of an instance that knows nothing.
 func NewHistory() *History {
 	return &History{seen: make(map[cardamom.ServiceID]map[string]span), lifetimes: make(map[cardamom.ServiceID]time.Duration)}
@@ -103,13 +119,7 @@
 		versions[s.Version] = span{s.First, s.Last}
 		return
 	}
-	if s.First.Before(known.first) {
-		known.first = s.First
-	}
-	if s.Last.After(known.last) {
-		known.last = s.Last
-	}
-	versions[s.Version] = known
+	versions[s.Version] = known.join(span{s.First, s.Last})
 }
 
 // Confirm records that the versions seen since the last call are all that were listed at a
