--- a/conns/conns.go
+++ b/conns/conns.go
@@ -155,6 +155,8 @@
 	// bodyWritten receives the result of the concurrent write of a large body. It
 	// is nil if the whole request was written before the response was read.
 	bodyWritten chan error
+	// sending looks after the connection while a large body is sent.
+	sending *sending
 	// stop detaches the connection from the context of Do. It returns false if the
 	// context has ended, which makes the connection unusable.
 	stop     func() bool
@@ -177,6 +179,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	head := encodeHead(request)
 	var bodyWritten chan error
+	var body *sending
 	if len(request.Body) <= maxInlineBodyBytes {
 		n, writeErr := c.Write(append(head, request.Body...))
 		if writeErr != nil {
@@ -189,10 +192,12 @@
 		}
 	} else {
 		bodyWritten = make(chan error, 1)
+		body = lookAfter(c.Conn)
 		go func() {
 			// A joined copy would take the memory of the body twice.
 			parts := net.Buffers{head, request.Body}
 			_, writeErr := parts.WriteTo(c.Conn)
+			body.wrote()
 			bodyWritten <- writeErr
 		}()
 	}
@@ -200,11 +205,12 @@
 	response, err := readHeader(c.reader, request.Method) //nolint:bodyclose // Response.Close closes or reuses the connection, which is all the body holds.
 	if err != nil {
 		stop()
+		body.end()
 		_ = c.Close()
 		return nil, err
 	}
 	c.bounded.left = math.MaxInt64
-	return &Response{pool: p, conn: c, response: response, bodyWritten: bodyWritten, stop: stop, id: request.ID}, nil
+	return &Response{pool: p, conn: c, response: response, bodyWritten: bodyWritten, sending: body, stop: stop, id: request.ID}, nil
 }
 
 // acquire returns a reusable idle connection on which the request was not sent, or a new one.
@@ -363,6 +369,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		live := r.stop()
+		r.sending.end()
 		if live && r.complete && !r.follows && !r.response.Close && r.written() && r.conn.reader.Buffered() == 0 {
 			r.conn.idleTimeout, r.conn.lastID = keepAliveTimeout(r.response.Header), r.id
 			r.pool.release(r.conn)
--- a/conns/late.go
+++ b/conns/late.go
@@ -39,5 +39,5 @@
 		return nil, err
 	}
 	r.conn.bounded.left = math.MaxInt64
-	return &Response{pool: r.pool, conn: r.conn, response: response, bodyWritten: r.bodyWritten, stop: r.stop, id: r.id, follows: true}, nil
+	return &Response{pool: r.pool, conn: r.conn, response: response, bodyWritten: r.bodyWritten, sending: r.sending, stop: r.stop, id: r.id, follows: true}, nil
 }
--- a/conns/socket.go
+++ b/conns/socket.go
@@ -12,14 +12,20 @@
 )
 
 // userTimeout is how long written bytes may stay unacknowledged, as in a network
-// partition, before the connection fails.
+// partition, before the connection fails. The system also ends a connection whose peer has
+// closed its window for so long; see pause.
 const userTimeout = 2500 * time.Millisecond
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a connection.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeoutTo(raw, userTimeout)
+}
+
+// setUserTimeoutTo sets it to a time, 0 for the system's own.
+func setUserTimeoutTo(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
