--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -64,6 +64,11 @@
 		return
 	}
 	l.lastExchange, l.reportSoon = now, false
+	if !l.askAgainAt.IsZero() && now.After(l.askAgainAt) {
+		// What was not believed is believed now, and comes only with everything.
+		l.forgetList()
+		l.askAgainAt = time.Time{}
+	}
 	report := l.options.Demand.Take()
 	request := l.report(report)
 	if l.term != nil {
@@ -78,11 +83,6 @@
 		l.options.Demand.Restore(report)
 		return
 	}
-	if !l.askAgainAt.IsZero() && now.After(l.askAgainAt) {
-		// What was not believed is believed now, and comes only with everything.
-		l.position.term, l.position.change, l.askAgainAt = 0, 0, time.Time{}
-		request.Tenure, request.Change = 0, 0
-	}
 	l.exchanging = true
 	client := l.peers.dial(address)
 	go func() {
@@ -122,10 +122,11 @@
 // report returns the request of an exchange.
 func (l *Loop) report(report demand.Report) *syncpb.ExchangeRequest {
 	request := &syncpb.ExchangeRequest{
-		Member: l.wireMember(),
-		Tenure: l.position.term, Change: l.position.change, Members: l.position.members,
+		Member:   l.wireMember(),
+		Members:  l.position.members,
 		Suspects: encodeSuspects(l.state.ledger.Suspects(time.Now())),
 	}
+	l.describeList(request)
 	if l.state.catalog != nil {
 		request.Catalog = l.state.catalog.Version()
 	}
@@ -184,10 +185,10 @@
 		}
 		return
 	}
-	if l.term != nil || reply.GetTenure() < max(l.position.term, l.minTerm) {
+	if l.term != nil || reply.GetTenure() < max(l.position.term, l.position.comparison.term, l.minTerm) {
 		return
 	}
-	if l.position.coordinator != address || l.position.term != reply.GetTenure() {
+	if l.position.coordinator != address || max(l.position.term, l.position.comparison.term) != reply.GetTenure() {
 		l.logger.Info("dependency_back", "dependency", "coordinator", "address", address, "fence", reply.GetTenure())
 	}
 	l.lastAnswered, l.state.membersConfirmed = began, began
@@ -200,10 +201,10 @@
 func (l *Loop) applyExchangeReply(reply *syncpb.ExchangeReply, began time.Time) {
 	upstreamsConfirmed := began.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond)
 	stale := reply.GetUpstreamsAgeMs() >= l.timing().staleAfter().Milliseconds()
-	refreshed := l.position.stale && !stale && !reply.GetFull()
-	l.position.stale = stale
-	l.position.term, l.position.change, l.position.members = reply.GetTenure(), reply.GetChange(), reply.GetMembersVersion()
-	if upstreamsConfirmed.After(l.state.upstreamsConfirmed) {
+	refreshed := l.position.stale && !stale && !reply.GetFull() && !reply.GetCompared()
+	l.position.stale, l.position.members = stale, reply.GetMembersVersion()
+	whole := l.advance(reply)
+	if whole && upstreamsConfirmed.After(l.state.upstreamsConfirmed) {
 		l.state.upstreamsConfirmed = upstreamsConfirmed
 	}
 	l.coordinatorCatalog = reply.GetCatalog()
@@ -230,13 +231,7 @@
 			l.setUpstream(upstream, "coordinator")
 		}
 	}
-	if reply.GetFull() && !reply.GetUnlisted() {
-		for id := range l.state.upstreams {
-			if !present[id] {
-				l.removeUpstream(id, "coordinator")
-			}
-		}
-	}
+	l.removeMissing(reply, present)
 	for _, id := range reply.GetGone() {
 		l.removeUpstream(cardamom.UpstreamID(id), "coordinator")
 	}
@@ -251,12 +246,12 @@
 	l.mergeHistory(reply.GetHistory(), began)
 	l.confirmVersions(l.state.upstreamsConfirmed)
 	l.applyPeerStats(reply, began)
-	if refreshed || reply.GetUnlisted() {
+	if whole && (refreshed || reply.GetUnlisted()) {
 		// While the coordinator's data was stale, this instance read the platform
 		// itself. What only this instance saw is in none of the coordinator's
 		// changes, so the next exchange asks for everything. The same holds until the
 		// coordinator has read the upstreams: what its list lacks was kept.
-		l.position.term, l.position.change = 0, 0
+		l.forgetList()
 	}
 }
 
--- a/coord/follow.go
+++ b/coord/follow.go
@@ -183,6 +183,10 @@
 		return
 	}
 	l.state.upstreamsConfirmed = began
+	if l.term == nil {
+		// What only this instance has seen is in none of the coordinator's changes.
+		l.forgetList()
+	}
 	listing, restored := l.state.restored.filter(listing, l.state.upstreams, now)
 	if restored {
 		l.logRestored(incarnation, listing.Incarnation)
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -65,6 +65,9 @@
 	// ChangeTime is how soon after the platform accepts a change, of the configuration or of
 	// an upstream that leaves, all instances have to act on it.
 	ChangeTime time.Duration
+	// ListRate bounds how many upstreams a coordinator sends in a second to members whose lists
+	// differ from its own, 0 for any number.
+	ListRate float64
 	// Clock returns the store's monotonic clock in milliseconds and the incarnation of
 	// the store to which it belongs.
 	Clock func(now time.Time) (ms int64, incarnation uint64, ok bool)
@@ -132,6 +135,10 @@
 	// lastAnswered is when the last exchange that a coordinator answered began.
 	lastAnswered time.Time
 	position     position
+	// listGeneration counts how often the coordinator's list was to be compared anew, and
+	// askedGeneration is its value at the last request.
+	listGeneration  uint64
+	askedGeneration uint64
 	// minTerm is the least term whose coordinator may still coordinate: those of the
 	// terms before it are known to have been replaced, and their answers are ignored.
 	minTerm uint64
@@ -161,6 +168,8 @@
 	coordinator string
 	term        uint64
 	change      uint64
+	// comparison is how far the lists of upstreams are compared, while term is 0.
+	comparison listComparison
 	// members is the version of the member list.
 	members uint64
 	// stale means that the coordinator's data from the platform is too old.
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -78,24 +78,9 @@
 			reply.Document = l.packedDocument()
 		}
 	}
-	after := request.GetChange()
-	if request.GetTenure() != t.number || after < t.lastDiscarded {
-		after, reply.Full = 0, true
-	}
-	for _, p := range t.published {
-		if p.change > after {
-			reply.Upstreams = append(reply.Upstreams, encodeUpstream(p.upstream))
-		}
-	}
-	if !reply.Full {
-		for _, removed := range t.removed {
-			if removed.change > after {
-				reply.Gone = append(reply.Gone, string(removed.id))
-			}
-		}
-	}
+	t.changedList(reply, request, now)
 	reply.MembersVersion = t.membersVersion
-	if reply.Full || request.GetMembers() != t.membersVersion {
+	if request.GetMembers() != t.membersVersion || request.GetTenure() != t.number && len(request.GetDigests()) == 0 {
 		reply.Members = encodeMembers(t.memberList)
 	}
 	sender := t.members[cardamom.InstanceID(request.GetMember().GetInstance())]
--- a/coord/term.go
+++ b/coord/term.go
@@ -39,6 +39,7 @@
 	// plain are the upstreams of services without engines, which need no plan.
 	plain     map[cardamom.UpstreamID]*site.Upstream
 	published map[cardamom.UpstreamID]*published
+	list      list
 	removed   []removedUpstream
 	// change is the number of the last change to published and removed.
 	change uint64
@@ -79,6 +80,8 @@
 type published struct {
 	upstream *site.Upstream
 	change   uint64
+	section  int
+	digest   uint64
 }
 
 // removedUpstream is an upstream that is no longer listed.
@@ -219,7 +222,7 @@
 		return
 	}
 	t.change++
-	t.published[upstream.ID] = &published{upstream: upstream, change: t.change}
+	t.published[upstream.ID] = &published{upstream: upstream, change: t.change, section: section(upstream.ID), digest: digest(upstream)}
 	t.loop.setUpstream(upstream, "plan")
 }
 
--- a/front/provide.go
+++ b/front/provide.go
@@ -41,7 +41,7 @@
 func provideOptions(settings *Settings, store *platform.Store, counter *demand.Counter, ledger *poison.Ledger, parts *poison.Parts, limits *quota.Book, notices *notice.Book, origins *origin.Book, tracker *reach.Tracker, budget *retry.Budget, engines *platform.EngineClient, logger hclog.Logger) coord.Options {
 	return coord.Options{
 		ID: settings.instance, EntryAddress: settings.listen.Entry, SyncAddress: settings.listen.Sync, Seeds: settings.seeds,
-		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), ChangeTime: settings.changeTime, Clock: store.Clock, Table: platform.NewTable(store, systemTable),
+		LeaseDuration: settings.lease, Fenced: settings.fencingChecked, TakeoverDelay: settings.TakeoverDelay(), ListRate: settings.ListRate(), ChangeTime: settings.changeTime, Clock: store.Clock, Table: platform.NewTable(store, systemTable),
 		Catalogs: platform.NewCatalogWatcher(store, logger), Upstreams: platform.NewUpstreamWatcher(store, logger), Engines: engines,
 		Decode: platform.DecodeCatalog, Profiles: settings.profiles, Demand: counter, Ledger: ledger, Parts: parts, Limits: limits, Notices: notices, Origins: origins, Reach: tracker, Lender: budget, Books: sched.NewBooks(), Logger: logger.Named("coord"),
 	}
--- a/front/settings.go
+++ b/front/settings.go
@@ -37,6 +37,10 @@
 	// coordinator: the instance that holds the lease and plans all loads.
 	weakProcessorCores = 0.35
 	weakLinkMbps       = 40
+	// listLinkShare is the share of the network link that lists of upstreams may take, and
+	// listEntryBytes the size of an upstream there.
+	listLinkShare  = 0.25
+	listEntryBytes = 64
 	// weakTakeoverDelay is how long a weak instance waits, after its start and after
 	// the coordinator is lost, before it tries to take the lease.
 	weakTakeoverDelay = 1500 * time.Millisecond
@@ -117,6 +121,10 @@
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
+// ListRate returns how many upstreams this instance may send in a second to members that lack
+// them while it coordinates, 0 for any number: they take a part of its network link.
+func (s *Settings) ListRate() float64 { return s.linkMbps * 1e6 / 8 * listLinkShare / listEntryBytes }
+
 // TakeoverDelay returns how long this instance waits, after its start and after the
 // coordinator is lost, before it tries to take the lease. The time is 0 unless the
 // processor or network link is too weak for a coordinator.
