--- a/relay/hop.go
+++ b/relay/hop.go
@@ -30,6 +30,9 @@
 	// hopStreamHeader is the id of the request that began the stream that the request goes
 	// on with.
 	hopStreamHeader = "Cardamom-Hop-Stream"
+	// hopCatalogHeader is the version of the catalog by which the first instance handles the
+	// request.
+	hopCatalogHeader = "Cardamom-Hop-Catalog"
 	// hopUpstreamHeader is the upstream that answered, as ID/START.
 	hopUpstreamHeader = "Cardamom-Hop-Upstream"
 	// hopSendsHeader is how often a refused request has reached upstreams.
@@ -71,8 +74,10 @@
 		return
 	}
 	from := hop{hopped: true, runs: runs, stream: r.Header.Get(hopStreamHeader)}
+	version := r.Header.Get(hopCatalogHeader)
 	r.Header.Del(hopHeader)
 	r.Header.Del(hopStreamHeader)
+	r.Header.Del(hopCatalogHeader)
 	if s.hopped.Add(1) > maxHopped {
 		s.hopped.Add(-1)
 		s.Dialect.SetRetryAfter(w.Header(), defaultRetryDelay)
@@ -80,15 +85,30 @@
 		return
 	}
 	defer s.hopped.Add(-1)
-	if s.Reach.Doubtful(clock.Now()) {
+	if reason := s.refusesHop(version); reason != "" {
 		w.Header().Set(hopSendsHeader, "0")
 		s.Dialect.SetRetryAfter(w.Header(), defaultRetryDelay)
-		http.Error(w, "partitioned", http.StatusServiceUnavailable)
+		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
 	s.serve(w, r, from)
 }
 
+// refusesHop returns why another instance's request can't be handled here, empty if it can. An
+// instance with another version of the catalog might send it elsewhere, or to nobody, after
+// callers of the first one have seen the effects of its version.
+func (s *Server) refusesHop(version string) string {
+	catalog := s.Views.View().Catalog()
+	switch {
+	case s.Reach.Doubtful(clock.Now()):
+		return "partitioned"
+	case version != "" && catalog != nil && version != strconv.FormatUint(catalog.Version(), 10):
+		return "other_catalog"
+	default:
+		return ""
+	}
+}
+
 // Hopped returns how many requests of other instances are being handled.
 func (s *Server) Hopped() int { return int(s.hopped.Load()) }
 
@@ -182,6 +202,7 @@
 	}
 	header := x.server.Dialect.HopHeader(endToEnd(x.r.Header), time.Until(x.deadline()), lastEventID)
 	header.Set(hopHeader, strconv.Itoa(x.runs))
+	header.Set(hopCatalogHeader, strconv.FormatUint(x.catalog.Version(), 10))
 	if stream != "" {
 		header.Set(hopStreamHeader, stream)
 	}
@@ -232,7 +253,7 @@
 
 // retryElsewhere are the reasons for which an instance refuses a request that another one may
 // serve.
-var retryElsewhere = map[string]bool{"partitioned": true, "leaving": true, "unreachable": true, "no_catalog": true, "hops_full": true}
+var retryElsewhere = map[string]bool{"partitioned": true, "leaving": true, "unreachable": true, "no_catalog": true, "hops_full": true, "other_catalog": true}
 
 // handleHopRefusal handles a request that the other instance has not run.
 func (x *exchange) handleHopRefusal(response *conns.Response, reply ResponseInfo) bool {
--- a/relay/hop_test.go
+++ b/relay/hop_test.go
@@ -119,6 +119,7 @@
 				Expect(r.Host).To(Equal("h.example"))
 				Expect(r.Header.Get("Request-Id")).To(Equal("r-1"))
 				Expect(r.Header.Get("X-Own")).To(Equal("kept"))
+				Expect(r.Header.Get("Cardamom-Hop-Catalog")).To(Equal("3"))
 			}
 		})
 	}
@@ -147,6 +148,24 @@
 		Expect(w.runs()[0].Header).NotTo(HaveKey("Resumes"))
 	})
 
+	DescribeTable("is handled only by the version of the catalog that the first instance has",
+		func(version string, status int) {
+			w := newFixture(coord.AwaitResult{})
+			response := serve(w, map[string]string{"Cardamom-Hop-Runs": "0", "Cardamom-Hop-Catalog": version})
+			Expect(response.StatusCode).To(Equal(status))
+			if status == http.StatusOK {
+				Expect(w.runs()[0].Header).NotTo(HaveKey("Cardamom-Hop-Catalog"))
+				return
+			}
+			Expect(response.Header.Get("Cardamom-Hop-Sends")).To(Equal("0"))
+			Expect(w.runs()).To(BeEmpty())
+		},
+		Entry("the same", "3", http.StatusOK),
+		Entry("an older one here", "4", http.StatusServiceUnavailable),
+		Entry("a newer one here", "2", http.StatusServiceUnavailable),
+		Entry("not stated, as by an instance of the software version before", "", http.StatusOK),
+	)
+
 	It("goes to no third instance", func() {
 		w := newFixture(coord.AwaitResult{})
 		o := &others{answers: []peerAnswer{{Status: 200, Seal: true}}}
