--- a/coord/sections_internal_test.go
+++ b/coord/sections_internal_test.go
@@ -22,11 +22,17 @@
 	}
 }
 
+// memberOf returns a loop that has the coordinators' catalog and no upstreams.
+func memberOf(id cardamom.InstanceID) *Loop {
+	l := newLoop(id, site.OrderAccepted)
+	l.setCatalog(nil, site.NewCatalog(1, nil, []site.Service{{Name: "plain"}}, site.Limits{}), "test")
+	return l
+}
+
 // coordinatorOf returns a loop that coordinates so many upstreams in a term.
 func coordinatorOf(id cardamom.InstanceID, upstreams int, rate float64, term uint64) *Loop {
-	l := newLoop(id, site.OrderAccepted)
+	l := memberOf(id)
 	l.options.ListRate = rate
-	l.setCatalog(nil, site.NewCatalog(1, nil, []site.Service{{Name: "plain"}}, site.Limits{}), "test")
 	l.lease.RecordWrite(term, l.options.SyncAddress, start)
 	l.beginTerm(true, start)
 	for n := range upstreams {
@@ -68,7 +74,7 @@
 	const many = 3000
 
 	It("comes in bounded parts if the instance has nothing", func() {
-		coordinator, member := coordinatorOf("i-1", many, 0, 7), newLoop("i-2", site.OrderAccepted)
+		coordinator, member := coordinatorOf("i-1", many, 0, 7), memberOf("i-2")
 		for range 20 {
 			reply := member.exchangeWith(coordinator, start)
 			Expect(len(reply.GetUpstreams())).To(BeNumerically("<", maxListEntries+50))
@@ -78,7 +84,7 @@
 	})
 
 	It("costs little if the instance has nearly all of it, whoever it had that from", func() {
-		before, member := coordinatorOf("i-1", many, 0, 7), newLoop("i-2", site.OrderAccepted)
+		before, member := coordinatorOf("i-1", many, 0, 7), memberOf("i-2")
 		member.follows(before, start)
 		coordinator := coordinatorOf("i-3", many, 0, 8)
 		for n := range 60 {
@@ -94,7 +100,7 @@
 	})
 
 	It("is compared rather than sent if too much has changed since the last exchange", func() {
-		coordinator, member := coordinatorOf("i-1", 100, 0, 7), newLoop("i-2", site.OrderAccepted)
+		coordinator, member := coordinatorOf("i-1", 100, 0, 7), memberOf("i-2")
 		member.follows(coordinator, start)
 		for n := range many {
 			coordinator.term.update(plainUpstream(n, 2), start)
@@ -106,7 +112,7 @@
 	})
 
 	It("doesn't count as confirmed until all of it has come", func() {
-		coordinator, member := coordinatorOf("i-1", many, 0, 7), newLoop("i-2", site.OrderAccepted)
+		coordinator, member := coordinatorOf("i-1", many, 0, 7), memberOf("i-2")
 		for member.position.term == 0 {
 			Expect(member.state.upstreamsConfirmed.IsZero()).To(BeTrue())
 			member.exchangeWith(coordinator, start)
@@ -120,7 +126,7 @@
 		coordinator := coordinatorOf("i-1", many, rate, 7)
 		members := make([]*Loop, 100)
 		for n := range members {
-			members[n] = newLoop(cardamom.InstanceID(fmt.Sprintf("m-%d", n)), site.OrderAccepted)
+			members[n] = memberOf(cardamom.InstanceID(fmt.Sprintf("m-%d", n)))
 		}
 		sent := 0
 		for tick := range 40 {
@@ -132,7 +138,7 @@
 	})
 
 	It("has an upstream that was removed and listed again between two exchanges", func() {
-		coordinator, member := coordinatorOf("i-1", 10, 0, 7), newLoop("i-2", site.OrderAccepted)
+		coordinator, member := coordinatorOf("i-1", 10, 0, 7), memberOf("i-2")
 		member.follows(coordinator, start)
 		coordinator.term.remove("i-00000003")
 		coordinator.term.update(plainUpstream(3, 2), start)
@@ -148,7 +154,7 @@
 	})
 
 	It("is taken over whole from a coordinator of a version that can't compare", func() {
-		member := newLoop("i-2", site.OrderAccepted)
+		member := memberOf("i-2")
 		member.setUpstream(plainUpstream(1, 1), "platform")
 		reply := &syncpb.ExchangeReply{Coordinates: true, Tenure: 7, Change: 5, Full: true, Upstreams: []*syncpb.Upstream{encodeUpstream(plainUpstream(2, 1))}}
 		member.handleExchangeReply("i-1:2", reply, nil, start, start)
@@ -157,7 +163,7 @@
 	})
 
 	It("keeps what a coordinator lacks that has read no registrations", func() {
-		coordinator, member := coordinatorOf("i-1", 10, 0, 7), newLoop("i-2", site.OrderAccepted)
+		coordinator, member := coordinatorOf("i-1", 10, 0, 7), memberOf("i-2")
 		coordinator.state.upstreamsConfirmed = time.Time{}
 		member.setUpstream(plainUpstream(20, 1), "platform")
 		member.exchangeWith(coordinator, start)
@@ -176,7 +182,7 @@
 			rate := []float64{0, 2000}[random.IntN(2)]
 			term := uint64(7)
 			coordinator := coordinatorOf("i-0", 1200, rate, term)
-			members := []*Loop{newLoop("m-1", site.OrderAccepted), newLoop("m-2", site.OrderAccepted), newLoop("m-3", site.OrderAccepted)}
+			members := []*Loop{memberOf("m-1"), memberOf("m-2"), memberOf("m-3")}
 			now := start
 			for range 400 {
 				now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
