--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -15,6 +15,11 @@
 	// firstLevelPercent is the percentage of the burst that a new account has. No instance
 	// has credit for about as long before another one coordinates.
 	firstLevelPercent = 50
+	// smallPercent is the percentage of what a quota allows in a second up to which an amount is
+	// small, and smallSharePercent that of the rate that small amounts may take past requests
+	// that wait. Quotas are kept to a tenth.
+	smallPercent      = 2
+	smallSharePercent = 5
 	// maxPromised bounds how far ahead refused requests are told to come back.
 	maxPromised = maxRetryAfter
 )
@@ -47,9 +52,11 @@
 
 // Ledger has the coordinator's token buckets of organisations. A new ledger's buckets are
 // half empty: what the one before it granted may have used them up. A request is granted as
-// soon as its bucket isn't overdrawn, whatever its size, so that no size is starved. So the
-// sum of what is granted in a time is at most the rate for that time, the burst and one
-// request. It is safe for concurrent use.
+// soon as its bucket isn't overdrawn, whatever its size, so that no size is starved. Requests
+// with a small amount, such as look-ups, pass those that wait, up to a twentieth of the rate:
+// they can't wait as long, and the others would hardly notice. So the
+// sum of what is granted in a time is at most the rate for that time, the burst, one
+// request and a tenth of what the rate is for a second. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
 	share    float64
@@ -61,7 +68,9 @@
 type account struct {
 	allowance Allowance
 	level     float64
-	filled    time.Time
+	// small is what small amounts may take while the bucket is overdrawn.
+	small  float64
+	filled time.Time
 	// promised is the time up to which refused requests were told to come back.
 	promised time.Time
 	asked    time.Time
@@ -91,7 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(allowance, now)
-	if a.level >= 0 {
+	if a.level >= 0 || a.takeSmall(amount) {
 		a.level -= amount
 		return true, a.level, 0
 	}
@@ -142,10 +151,21 @@
 	if !now.After(a.filled) {
 		return
 	}
-	a.level = min(a.level+a.allowance.perSecond*l.share*now.Sub(a.filled).Seconds(), a.allowance.burst)
+	earned := a.allowance.perSecond * l.share * now.Sub(a.filled).Seconds()
+	a.level = min(a.level+earned, a.allowance.burst)
+	a.small = min(a.small+earned*smallSharePercent/100, a.allowance.perSecond*smallSharePercent/100)
 	a.filled = now
 }
 
+// takeSmall reports whether an amount is small and may pass requests that wait.
+func (a *account) takeSmall(amount float64) bool {
+	if amount > a.allowance.perSecond*smallPercent/100 || amount > a.small {
+		return false
+	}
+	a.small -= amount
+	return true
+}
+
 // prune drops the accounts of organisations without requests. Their buckets would be full,
 // and start empty.
 func (l *Ledger) prune(now time.Time) {
