--- a/coord/credit.go
+++ b/coord/credit.go
@@ -73,14 +73,18 @@
 	// alone means that this instance grants its own part of the quotas, since aloneSince.
 	alone      bool
 	aloneSince time.Time
+	// instances is how many instances there are, as far as this one knows.
+	instances instanceCount
 	// ahead are the amounts, by organisation, that were granted before the coordinator was
-	// asked. exhausted are organisations that the coordinator refused until a time.
+	// asked and that it is to be told next; untold are these and those that it is being told.
+	// exhausted are organisations that the coordinator refused until a time.
 	ahead     map[string]float64
+	untold    map[string]float64
 	exhausted map[string]time.Time
 }
 
 func newCredits(now time.Time) *credits {
-	return &credits{part: quota.NewPart(rand.Float64), contact: now, interval: minExchangeInterval, ahead: make(map[string]float64), exhausted: make(map[string]time.Time)}
+	return &credits{part: quota.NewPart(rand.Float64), contact: now, interval: minExchangeInterval, ahead: make(map[string]float64), untold: make(map[string]float64), exhausted: make(map[string]time.Time)}
 }
 
 // begin starts a term with an empty ledger.
@@ -151,8 +155,14 @@
 		return granted, next{}
 	}
 	c.mu.Lock()
+	// A new coordinator's list of members is short at first.
+	c.instances.see(members, now)
+	members = c.instances.count
 	coordinates, alone, address := c.ledger != nil, c.alone, c.coordinator
-	small := need.Amount*float64(members) <= need.Allowance.Burst()*localPercent/100 && now.After(c.exhausted[name])
+	small := !coordinates && !alone && address != "" && c.isSmall(need, now)
+	if small {
+		c.untold[name] += need.Amount
+	}
 	c.mu.Unlock()
 	switch {
 	case coordinates:
@@ -173,6 +183,25 @@
 	}
 }
 
+// isSmall reports whether an amount may be granted before the coordinator is told: all instances
+// may have granted as much that it doesn't know of, as many as they may be.
+func (c *credits) isSmall(need CreditNeed, now time.Time) bool {
+	name := need.Allowance.Organisation()
+	if now.Sub(c.instances.grown) < c.interval+minTermAge || !now.After(c.exhausted[name]) {
+		return false
+	}
+	return (c.untold[name]+need.Amount)*float64(c.instances.count) <= need.Allowance.Burst()*localPercent/100
+}
+
+// told records that the coordinator was told of an amount, or doesn't answer.
+func (c *credits) told(name string, amount float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.untold[name] -= amount; c.untold[name] <= 0 {
+		delete(c.untold, name)
+	}
+}
+
 // Credit asks whether an organisation's quota allows a request.
 func (l *Loop) Credit(ctx context.Context, need CreditNeed) CreditResult {
 	now := clock.Now()
@@ -219,6 +248,7 @@
 		for amount := c.takeAhead(name); amount > 0; amount = c.takeAhead(name) {
 			request := encodeCreditNeed(CreditNeed{Allowance: need.Allowance, Amount: amount}, true)
 			result := l.askCredit(l.ctx, address, request, CreditResult{Granted: true}, clock.Now())
+			c.told(name, amount)
 			if !result.Granted {
 				// Refused, or not answered: nothing bounds what would be granted ahead then.
 				c.exhaust(name, clock.Now().Add(aheadPause))
@@ -304,10 +334,15 @@
 type instanceCount struct {
 	count int
 	at    time.Time
+	// grown is when there were last more than before.
+	grown time.Time
 }
 
 // see records how many instances there are now.
 func (i *instanceCount) see(count int, now time.Time) {
+	if count > i.count {
+		i.grown = now
+	}
 	if count >= i.count || now.Sub(i.at) > instanceRetention {
 		i.count, i.at = count, now
 	}
--- a/coord/credit_internal_test.go
+++ b/coord/credit_internal_test.go
@@ -37,8 +37,14 @@
 	terms map[int]*creditTerm
 	// cut are the instances without a link to the others.
 	cut map[int]bool
+	// seen is how many members each instance knows of.
+	seen []int
 	// lost is the probability that an answer to a question is lost.
-	lost      float64
+	lost float64
+	// slow is how long the coordinator takes to be told of an amount, and tells are those that
+	// it is being told.
+	slow      time.Duration
+	tells     []creditTell
 	allowance quota.Allowance
 	granted   []quotaUse
 	now       time.Time
@@ -52,6 +58,13 @@
 	alone    map[int]bool
 }
 
+// creditTell is an amount that an instance granted and that the coordinator learns of at a time.
+type creditTell struct {
+	at     time.Time
+	from   int
+	amount float64
+}
+
 // quotaUse is an amount that was granted at a time.
 type quotaUse struct {
 	at     time.Time
@@ -61,7 +74,7 @@
 func newCreditHistory(seed uint64, count int, rate float64) *creditHistory {
 	h := &creditHistory{random: rand.New(rand.NewPCG(seed, 1)), coordinator: -1, terms: make(map[int]*creditTerm), cut: make(map[int]bool), now: start, allowance: quota.NewAllowance("o", 1, rate, rate)}
 	h.interval = newTiming(count, 3*time.Second).exchangeInterval()
-	h.instances, h.nextExchange = make([]*credits, count), make([]time.Time, count)
+	h.instances, h.nextExchange, h.seen = make([]*credits, count), make([]time.Time, count), make([]int, count)
 	for i := range count {
 		h.restart(i)
 	}
@@ -76,6 +89,7 @@
 	delete(h.terms, i)
 	c := newCredits(h.now)
 	c.part = quota.NewPart(h.random.Float64)
+	h.seen[i] = 0
 	h.instances[i], h.nextExchange[i] = c, h.now.Add(time.Duration(h.random.Float64()*float64(h.interval)))
 }
 
@@ -113,6 +127,7 @@
 			continue
 		}
 		h.terms[to].alone[i], h.terms[to].heard[i] = c.isAlone(), h.now
+		h.seen[i] = len(h.terms[to].heard)
 		c.setCoordinator("coordinator", h.interval)
 		c.contacted(h.now)
 	}
@@ -125,6 +140,13 @@
 		}
 		h.instances[i].setShare(float64(heard)/float64(t.expected.count), h.now)
 	}
+	h.tells = slices.DeleteFunc(h.tells, func(t creditTell) bool {
+		if t.at.After(h.now) {
+			return false
+		}
+		h.tell(t)
+		return true
+	})
 	for owed := demand * historyStep.Seconds(); owed > 0; {
 		size := sizes()
 		if owed < size && h.random.Float64()*size > owed {
@@ -139,23 +161,19 @@
 func (h *creditHistory) ask(i int, amount float64) {
 	c := h.instances[i]
 	need := CreditNeed{Allowance: h.allowance, Amount: amount, Patience: time.Duration(h.random.IntN(500)) * time.Millisecond}
-	result, call := c.decide(need, len(h.instances), h.now)
+	result, call := c.decide(need, h.seen[i], h.now)
 	switch to := h.reached(i); {
 	case call.ask == "":
+	case call.told:
+		h.tells = append(h.tells, creditTell{h.now.Add(h.slow), i, amount})
 	case to < 0:
 		c.unanswered(h.now)
-		if result.Granted = call.told; call.told {
-			c.exhaust("o", h.now.Add(aheadPause))
-		}
-	case h.random.Float64() < h.lost && !call.told:
+		result.Granted = false
+	case h.random.Float64() < h.lost:
 		// The coordinator counts what it granted.
 		h.instances[to].answer(encodeCreditNeed(need, false), h.now)
 		c.unanswered(h.now)
 		result.Granted = false
-	case call.told:
-		if reply := h.instances[to].answer(encodeCreditNeed(need, true), h.now); !reply.GetGranted() {
-			c.exhaust("o", h.now.Add(aheadPause))
-		}
 	default:
 		reply := h.instances[to].answer(encodeCreditNeed(need, false), h.now)
 		if reply.GetCoordinates() {
@@ -170,6 +188,20 @@
 	}
 }
 
+// tell tells the coordinator of an amount that an instance granted.
+func (h *creditHistory) tell(t creditTell) {
+	c := h.instances[t.from]
+	c.told("o", t.amount)
+	to := h.reached(t.from)
+	if to < 0 {
+		c.unanswered(h.now)
+	}
+	need := CreditNeed{Allowance: h.allowance, Amount: t.amount}
+	if to < 0 || !h.instances[to].answer(encodeCreditNeed(need, true), h.now).GetGranted() {
+		c.exhaust("o", h.now.Add(aheadPause))
+	}
+}
+
 // most returns the greatest amount that was granted in a window.
 func (h *creditHistory) most() float64 {
 	slices.SortFunc(h.granted, func(a, b quotaUse) int { return a.at.Compare(b.at) })
@@ -252,10 +284,45 @@
 				h.coordinate(h.random.IntN(len(h.instances)))
 			}
 		},
+		"the coordinator is slow": func(h *creditHistory, at int) {
+			h.slow = map[bool]time.Duration{true: creditCallTimeout}[at >= 10 && at < 20]
+		},
+		"the coordinator is slow, and all are killed meanwhile": func(h *creditHistory, at int) {
+			h.slow = creditCallTimeout
+			switch at {
+			case 10:
+				for i := range h.instances {
+					h.restart(i)
+				}
+			case 12:
+				h.coordinate(h.random.IntN(len(h.instances)))
+			}
+		},
 		"half of the answers are lost": func(h *creditHistory, at int) {
 			h.lost = map[bool]float64{true: 0.5}[at >= 10 && at < 20]
 		},
 	}
+	// A flood of requests each of which may be granted before the coordinator is told.
+	for _, name := range []string{"nothing fails", "the coordinator is slow", "the coordinator is slow, and all are killed meanwhile", "all are killed, and again soon after"} {
+		for _, count := range []int{2, 8, 88} {
+			It(fmt.Sprintf("is kept at %d instances if it is ten times as much in small requests and %s", count, name), func() {
+				const rate = 18000.0
+				for seed := range uint64(3) {
+					h := newCreditHistory(seed, count, rate)
+					h.coordinate(0)
+					second := 0
+					for h.now.Before(start.Add(30 * time.Second)) {
+						if at := int(h.now.Sub(start).Seconds()); at > second {
+							second = at
+							faults[name](h, at)
+						}
+						h.step(10*rate, func() float64 { return 100 })
+					}
+					Expect(h.most()).To(BeNumerically("<=", (rate*quotaWindow.Seconds()+rate)*quotaOverage+quotaSlack), "seed %d", seed)
+				}
+			})
+		}
+	}
 	for name, fault := range faults {
 		for _, count := range []int{2, 8, 88, 300} {
 			for _, rate := range []float64{18000, 1000000} {
