--- a/coord/credit.go
+++ b/coord/credit.go
@@ -187,7 +187,7 @@
 // may have granted as much that it doesn't know of, as many as they may be.
 func (c *credits) isSmall(need CreditNeed, now time.Time) bool {
 	name := need.Allowance.Organisation()
-	if now.Sub(c.instances.grown) < c.interval+minTermAge || !now.After(c.exhausted[name]) {
+	if c.instances.count == 0 || now.Sub(c.instances.grown) < c.interval+minTermAge || !now.After(c.exhausted[name]) {
 		return false
 	}
 	return (c.untold[name]+need.Amount)*float64(c.instances.count) <= need.Allowance.Burst()*localPercent/100
--- a/coord/credit_internal_test.go
+++ b/coord/credit_internal_test.go
@@ -228,6 +228,16 @@
 	return sum
 }
 
+var _ = Describe("an instance that knows of no members yet", func() {
+	It("grants nothing before the coordinator is told", func() {
+		c := newCredits(start)
+		c.setCoordinator("coordinator", minExchangeInterval)
+		_, call := c.decide(CreditNeed{Allowance: quota.NewAllowance("o", 1, 1000, 1000), Amount: 1}, 0, start.Add(time.Minute))
+		Expect(call.told).To(BeFalse())
+		Expect(call.ask).To(Equal("coordinator"))
+	})
+})
+
 // These tests guard against windows of a quota that are given twice when the coordinator
 // changes, instances are cut off or all start again, and against quotas that go unused.
 var _ = Describe("the quota of an organisation whose callers send three times as much", func() {
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -74,9 +74,12 @@
 	Proven      bool     `json:"proven,omitempty"`
 }
 
-// maxStoredSuspects bounds the suspects in the lease row, which is written at each
-// renewal.
-const maxStoredSuspects = 64
+const (
+	// maxStoredSuspects bounds the suspects in the lease row, which is written at each
+	// renewal, and maxStoredOutlived the deaths of each that were outlived.
+	maxStoredSuspects = 64
+	maxStoredOutlived = 2
+)
 
 type wireConcurrency struct {
 	Loads int  `json:"loads"`
@@ -120,7 +123,9 @@
 func encodeStoredSuspects(suspects []poison.Suspect) []wireSuspect {
 	stored := make([]wireSuspect, 0, min(len(suspects), maxStoredSuspects))
 	for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
-		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: suspect.Outlived(), Proven: suspect.Proven()})
+		outlived := suspect.Outlived()
+		outlived = outlived[max(0, len(outlived)-maxStoredOutlived):]
+		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: outlived, Proven: suspect.Proven()})
 	}
 	return stored
 }
--- a/coord/suspects_internal_test.go
+++ b/coord/suspects_internal_test.go
@@ -60,6 +60,23 @@
 		Expect(there.Verdict(7, now)).To(Equal(poison.Suspected))
 	})
 
+	It("take a bounded part of the lease row, however many deaths were outlived", func() {
+		now := time.Now()
+		l := newLoop("a", site.OrderAccepted)
+		l.becomeCoordinator()
+		for n := range 200 {
+			fingerprint := poison.Fingerprint(n)
+			for death := range 40 {
+				l.state.ledger.RecordDeath(fingerprint, fmt.Sprintf("i-0123456789/2026-12-06T12:00:00.%03dZ", death), now)
+				l.state.ledger.RecordSurvival(fingerprint)
+			}
+			for death := range 10 {
+				l.state.ledger.RecordDeath(fingerprint, fmt.Sprintf("i-9876543210/2026-12-06T12:00:00.%03dZ", death), now)
+			}
+		}
+		Expect(len(l.encodeLease(lease.Row{Holder: "a"}))).To(BeNumerically("<", 24_000))
+	})
+
 	It("take a bounded part of the lease row, those with the most deaths first", func() {
 		now := time.Now()
 		l := newLoop("a", site.OrderAccepted)
