Never read the reset of an upstream's connection as the end of its answer

What callers saw (MIXED): an upstream answered a long upload at once with a 200 that has no length, sent a part of the body and reset the connection while the upload was still being written. The part reached the caller as a complete answer.

Cause: the kernel reports the error of a connection once, to whoever makes the next system call. The body of an upload is written while the response is read. If the writer got ECONNRESET, the reader got io.EOF, which is the regular end of a body without a length. The writer's error was looked at only to decide whether the connection may be used again.

Change: framed.Conn keeps the first error that shows that the connection broke, whichever side got it, and a read at the end returns it. A writer may hold the error without having returned yet, so the read first ends that write.

Why it works: the kernel gives a reset that comes after the peer's FIN to the writer as EPIPE, one before it as ECONNRESET, so that an answer that ended in order stays whole although the upload fails. Ruled out: taking each failed write for a break, which drops sound answers that come before the upload has ended, and looking whether the writer has returned, which races with it.

Streams, plain answers and answers of other instances are read through the same connections.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -28,6 +28,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // Errors of a request. After ErrNotSent the request has not run; after any other
@@ -108,7 +110,7 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*framed.Conn
 	address     string
 	bounded     *boundedReader
 	reader      *bufio.Reader
@@ -195,8 +197,7 @@
 		body = lookAfter(c.Conn)
 		go func() {
 			// A joined copy would take the memory of the body twice.
-			parts := net.Buffers{head, request.Body}
-			_, writeErr := parts.WriteTo(c.Conn)
+			_, writeErr := c.WriteBuffers(net.Buffers{head, request.Body})
 			body.wrote()
 			bodyWritten <- writeErr
 		}()
@@ -233,8 +234,9 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	bounded := &boundedReader{source: raw, left: math.MaxInt64}
-	return &conn{Conn: raw, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	framedConn := framed.NewConn(raw)
+	bounded := &boundedReader{source: framedConn, left: math.MaxInt64}
+	return &conn{Conn: framedConn, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // dialer returns the dialer of new connections.
--- a/conns/pause.go
+++ b/conns/pause.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // pauseCheckInterval is the time between two looks at a connection on which a body is being
@@ -60,12 +62,8 @@
 }
 
 // lookAfter starts to look after a connection. The result is nil if it can't.
-func lookAfter(c net.Conn) *sending {
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
+func lookAfter(c *framed.Conn) *sending {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil
 	}
--- a/conns/socket.go
+++ b/conns/socket.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -35,12 +34,8 @@
 
 // reusable reports whether an idle connection is open and has nothing to read.
 // Bytes that arrive before the next request can't belong to its response.
-func reusable(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+func reusable(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/framed/framed.go
+++ b/framed/framed.go
@@ -3,10 +3,16 @@
 // need it, as one that is cut between two fields decodes as if it were whole. It also
 // bounds responses that have no end at all.
 //
+// Where responses without a length are accepted, Conn makes those fail whose connection
+// was reset.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: framed.New(framed.Limit(transport, maxReplyBytes))}
 //	peer := syncpb.NewSyncProtobufClient("http://10.0.0.7:7380", client)
+//
+//	base, err := dialer.DialContext(ctx, "tcp", "10.0.0.7:8080")
+//	connection := framed.NewConn(base)
 package framed
 
 import (
