Take no response with a status below 100 for an informational one or an answer

Reported of other systems: an upstream in trouble sent an answer with status 000, and the client got it as an answer.

What callers saw here: not that answer. The relay skipped it like an informational response. If it had no body and its connection stayed open, the caller waited for the deadline, and nobody else was asked; if another answer followed on the connection, the caller got that one. A write to the store whose answer had the status counted as not done, though it may have been.

Cause: net/http accepts each status of three digits, also a sign and two digits; readHeader took all below 200 for informational, and the store's client all that it doesn't know for "unavailable".

Change: framed.CheckHead refuses a status below 100. conns calls it for each head, so that the request ends like one with an invalid response (502, or sent again where the route allows it); transports with a limit call it as well, so that the outcome of the write is unknown and it is read back.

--- a/conns/head.go
+++ b/conns/head.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // statusLine matches the start of a status line.
@@ -43,6 +45,9 @@
 		if err != nil {
 			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
 		}
+		if err := framed.CheckHead(response); err != nil {
+			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
+		}
 		if line, ok := findStatusLine(response); ok {
 			return nil, eris.Wrapf(ErrInvalidResponse, "its header contains the status line %q of another response", line)
 		}
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -31,7 +31,7 @@
 	testMaxBody  = 2000
 	testDocument = `{
 		"profiles": {"p": {"replicas": 1}},
-		"services": {"s": {"kind": "models", "places": ["x"], "runner_memory_mb": 100}},
+		"services": {"s": {"kind": "models", "places": ["x"], "runner_memory_mb": 100}, "a": {"kind": "plain", "places": ["x"], "profile": "p"}},
 		"models": {"m": {"service": "s", "profile": "p", "memory_mb": 10, "checkpoint_mb": 10}}
 	}`
 )
@@ -67,7 +67,10 @@
 	server     *httptest.Server
 }
 
-func newHarness() *harness {
+func newHarness() *harness { return newHarnessFor(testMaxBody) }
+
+// newHarnessFor returns a harness whose server accepts bodies up to maxBody bytes.
+func newHarnessFor(maxBody int64) *harness {
 	document, err := policy.Parse("test", []byte(testDocument))
 	Expect(err).NotTo(HaveOccurred())
 	tracer, err := trace.New(trace.Options{})
@@ -79,7 +82,7 @@
 		FollowedCells: map[cardamom.CellID]map[cardamom.ModelID][]cells.Replica{"s/x/0": {}},
 	})
 	server := entry.New(entry.Options{
-		Self: self, MaxBodyBytes: testMaxBody, Views: h.views, Admission: h.controller, Claims: &localClaims{shard: claim.NewShard(claimRetention)},
+		Self: self, MaxBodyBytes: maxBody, Views: h.views, Admission: h.controller, Claims: &localClaims{shard: claim.NewShard(claimRetention)},
 		Reporter: restartedReporter{}, Ledger: h.ledger, Tracer: tracer, Metrics: entry.NewMetrics(nil), Logger: hclog.NewNullLogger(),
 	})
 	h.server = httptest.NewServer(server.Handler())
@@ -91,8 +94,17 @@
 func (h *harness) useUpstream(upstream http.Handler) {
 	server := httptest.NewServer(upstream)
 	DeferCleanup(server.Close)
+	h.useAddress(server.Listener.Addr().String())
+}
+
+// useAddress makes an address that of the only replica of the model and of the only upstream of
+// the plain service.
+func (h *harness) useAddress(address string) {
+	view := *h.views.Load()
+	view.Plain = map[cardamom.ServiceID][]cardamom.Upstream{"a": {{ID: "a-1", Service: "a", Address: address, State: cardamom.Live}}}
+	h.views.Store(&view)
 	h.controller.Update("s/x/0", map[cardamom.ModelID][]cells.Replica{"m": {{
-		ReplicaKey: cells.ReplicaKey{Model: "m", Upstream: "u"}, Address: server.Listener.Addr().String(),
+		ReplicaKey: cells.ReplicaKey{Model: "m", Upstream: "u"}, Address: address,
 		State: cells.ReplicaReady, Slots: 4, Incarnation: 1,
 	}}}, testNow)
 }
--- a/framed/framed.go
+++ b/framed/framed.go
@@ -1,7 +1,8 @@
 // Package framed makes an HTTP client fail on responses whose end can't be told from
 // a connection that broke: those with neither a length nor chunks. Protobuf messages
 // need it, as one that is cut between two fields decodes as if it were whole. It also
-// bounds responses that have no end at all.
+// bounds responses that have no end at all, and fails on heads that the protocol doesn't
+// allow.
 //
 // Where responses without a length are accepted, Conn makes those fail whose connection
 // was reset.
--- /dev/null
+++ b/framed/head.go
@@ -0,0 +1,43 @@
+package framed
+
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalidHead means that the protocol allows no response with such a head.
+var ErrInvalidHead = eris.New("response has an invalid head")
+
+// minStatus is the lowest status code.
+const minStatus = 100
+
+// CheckHead returns ErrInvalidHead for a head that net/http has parsed but the protocol doesn't
+// allow: one with a status code below 100.
+func CheckHead(response *http.Response) error {
+	if response.StatusCode < minStatus {
+		return eris.Wrapf(ErrInvalidHead, "status %q", response.Status)
+	}
+	return nil
+}
+
+// Checked returns a transport that sends requests by base and fails on responses with an invalid
+// head.
+func Checked(base http.RoundTripper) http.RoundTripper { return &checked{base: base} }
+
+type checked struct {
+	base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *checked) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, eris.Wrapf(err, "%s %s", request.Method, request.URL.Path)
+	}
+	return response, nil
+}
--- a/framed/limit.go
+++ b/framed/limit.go
@@ -14,10 +14,10 @@
 var ErrTooLong = eris.New("response body is too long")
 
 // Limit bounds the headers and the bodies, in bytes, of the responses that a transport
-// returns. It changes the transport.
+// returns, and fails on invalid heads. It changes the transport.
 func Limit(base *http.Transport, maxBody int64) http.RoundTripper {
 	base.MaxResponseHeaderBytes = maxHeaderBytes
-	return &limited{base: base, maxBody: maxBody}
+	return &limited{base: Checked(base), maxBody: maxBody}
 }
 
 type limited struct {
