Take no answer of an upstream whose head has a line that begins with a blank

What callers saw: an upstream in trouble sent a line such as " X-Trouble: 1" in its head. The caller got a sealed answer in which that line was part of the value of the field before it, or, for " Transfer-Encoding: chunked", the marks of the chunks as part of the body.

Cause: net/http joins a line that begins with a blank or a tab with the line before (folding, which RFC 9112 forbids to senders). The parsed head doesn't show it.

Change: conns keeps the bytes of a head while it reads it and refuses one with such a line, as the RFC allows a proxy in place of joining the lines itself. What was read beyond the head doesn't count.

--- a/conns/bounded.go
+++ b/conns/bounded.go
@@ -13,6 +13,9 @@
 type boundedReader struct {
 	source io.Reader
 	left   int64
+	// records means that recorded gets a copy of what is read.
+	records  bool
+	recorded []byte
 }
 
 // Read implements io.Reader.
@@ -25,5 +28,8 @@
 	}
 	n, err := b.source.Read(data)
 	b.left -= int64(n)
+	if b.records {
+		b.recorded = append(b.recorded, data[:n]...)
+	}
 	return n, err
 }
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -202,15 +202,13 @@
 			bodyWritten <- writeErr
 		}()
 	}
-	c.bounded.left = maxHeadBytes
-	response, err := readHeader(c.reader, request.Method) //nolint:bodyclose // Response.Close closes or reuses the connection, which is all the body holds.
+	response, err := c.readHeader(request.Method) //nolint:bodyclose // Response.Close closes or reuses the connection, which is all the body holds.
 	if err != nil {
 		stop()
 		body.end()
 		_ = c.Close()
 		return nil, err
 	}
-	c.bounded.left = math.MaxInt64
 	return &Response{pool: p, conn: c, response: response, bodyWritten: bodyWritten, sending: body, stop: stop, id: request.ID}, nil
 }
 
--- a/conns/head.go
+++ b/conns/head.go
@@ -1,8 +1,8 @@
 package conns
 
 import (
-	"bufio"
 	"bytes"
+	"math"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -36,21 +36,26 @@
 
 // readHeader reads the header of the final response. It skips informational
 // (1xx) responses, except that 101 is an error, as no protocol switch is supported.
-func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.bounded.left, c.bounded.records = maxHeadBytes, true
+	defer func() { c.bounded.left, c.bounded.records, c.bounded.recorded = math.MaxInt64, false, nil }()
 	for {
-		if _, err := reader.Peek(1); err != nil {
+		buffered, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, eris.Wrap(ErrBroken, err.Error())
+		}
+		c.bounded.recorded = append(c.bounded.recorded[:0], buffered...)
+		if _, err := c.reader.Peek(1); err != nil {
 			return nil, eris.Wrap(ErrBroken, err.Error())
 		}
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
 		}
-		if err := framed.CheckHead(response); err != nil {
+		head := c.bounded.recorded[:len(c.bounded.recorded)-c.reader.Buffered()]
+		if err := checkHead(response, head); err != nil {
 			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
 		}
-		if line, ok := findStatusLine(response); ok {
-			return nil, eris.Wrapf(ErrInvalidResponse, "its header contains the status line %q of another response", line)
-		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -60,6 +65,28 @@
 	}
 }
 
+// checkHead returns an error for a response whose head, byte by byte as it came, is none or is
+// that of two responses.
+func checkHead(response *http.Response, head []byte) error {
+	if err := framed.CheckHead(response); err != nil {
+		return err
+	}
+	if hasFoldedLine(head) {
+		return eris.New("a line of its header begins with a blank")
+	}
+	if line, ok := findStatusLine(response); ok {
+		return eris.Errorf("its header contains the status line %q of another response", line)
+	}
+	return nil
+}
+
+// hasFoldedLine reports whether a line of a head begins with a blank. net/http joins it with the
+// line before. A sender must not fold lines and a proxy may refuse to join them (RFC 9112, 5.2):
+// the line may as well be a field of its own whose name is broken.
+func hasFoldedLine(head []byte) bool {
+	return bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t"))
+}
+
 // keepAliveTimeout returns how long a connection may stay idle, from the response's
 // Keep-Alive header.
 func keepAliveTimeout(header http.Header) time.Duration {
--- a/conns/late.go
+++ b/conns/late.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 
 	"github.com/rotisserie/eris"
 )
@@ -33,11 +32,9 @@
 	if !r.complete {
 		return nil, eris.Wrap(ErrBroken, "late copy of an earlier response is too long")
 	}
-	r.conn.bounded.left = maxHeadBytes
-	response, err := readHeader(r.conn.reader, r.response.Request.Method) //nolint:bodyclose // Response.Close closes the connection, which is all the body holds.
+	response, err := r.conn.readHeader(r.response.Request.Method) //nolint:bodyclose // Response.Close closes the connection, which is all the body holds.
 	if err != nil {
 		return nil, err
 	}
-	r.conn.bounded.left = math.MaxInt64
 	return &Response{pool: r.pool, conn: r.conn, response: response, bodyWritten: r.bodyWritten, sending: r.sending, stop: r.stop, id: r.id, follows: true}, nil
 }
