Never take the reset of an upstream's connection for the end of its answer in cardd

Change: the transports for upstreams and other instances dial framed.Conn.

Streams (which end with [DONE]) and completions (a JSON document has to be whole) were not affected.

--- a/entry/dial.go
+++ b/entry/dial.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"cardamomcourse.example/cardamom/framed"
 )
 
 // keepAlivePeriod is the time between two TCP keep-alive probes.
@@ -12,5 +14,9 @@
 // dialContext connects within dialTimeout.
 func dialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	return dialer.DialContext(ctx, network, address)
+	base, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return framed.NewConn(base), nil
 }
