--- a/framed/framed_test.go
+++ b/framed/framed_test.go
@@ -24,6 +24,11 @@
 // serveReply answers each call with the header lines and a body, and closes the
 // connection.
 func serveReply(header string, body []byte) string {
+	return serveText(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n%s\r\n%s", header, body))
+}
+
+// serveText answers each call with a text, byte by byte as given, and closes the connection.
+func serveText(text string) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		connection, _, err := w.(http.Hijacker).Hijack()
@@ -31,7 +36,7 @@
 			return
 		}
 		defer connection.Close()
-		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n%s\r\n%s", header, body)
+		_, _ = io.WriteString(connection, text)
 	}))
 	DeferCleanup(server.Close)
 	return server.URL
@@ -68,6 +73,16 @@
 		Expect(err).To(MatchError(ContainSubstring(framed.ErrInvalidHead.Error())))
 	})
 
+	It("fails if the name of a field in its head holds a control byte", func() {
+		_, err := exchange(serveReply(fmt.Sprintf("X\x00Trouble: 1\r\nContent-Length: %d\r\n", len(whole)), whole))
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("fails if its status is 000", func() {
+		_, err := exchange(serveText(fmt.Sprintf("HTTP/1.1 000 Trouble\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)))
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("fails if it ends with its connection, between two fields", func() {
 		_, err := exchange(serveReply("", first))
 		Expect(err).To(MatchError(ContainSubstring(framed.ErrUnframed.Error())))
