--- a/conns/bounded.go
+++ b/conns/bounded.go
@@ -13,9 +13,9 @@
 type boundedReader struct {
 	source io.Reader
 	left   int64
-	// records means that recorded gets a copy of what is read.
-	records  bool
-	recorded []byte
+	// recording means that what is read is appended to recorded.
+	recording bool
+	recorded  []byte
 }
 
 // Read implements io.Reader.
@@ -28,7 +28,7 @@
 	}
 	n, err := b.source.Read(data)
 	b.left -= int64(n)
-	if b.records {
+	if b.recording {
 		b.recorded = append(b.recorded, data[:n]...)
 	}
 	return n, err
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -232,9 +232,9 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	framedConn := framed.NewConn(raw)
-	bounded := &boundedReader{source: framedConn, left: math.MaxInt64}
-	return &conn{Conn: framedConn, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	connection := framed.NewConn(raw)
+	bounded := &boundedReader{source: connection, left: math.MaxInt64}
+	return &conn{Conn: connection, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // dialer returns the dialer of new connections.
--- a/conns/head.go
+++ b/conns/head.go
@@ -37,8 +37,8 @@
 // readHeader reads the header of the final response. It skips informational
 // (1xx) responses, except that 101 is an error, as no protocol switch is supported.
 func (c *conn) readHeader(method string) (*http.Response, error) {
-	c.bounded.left, c.bounded.records = maxHeadBytes, true
-	defer func() { c.bounded.left, c.bounded.records, c.bounded.recorded = math.MaxInt64, false, nil }()
+	c.bounded.left, c.bounded.recording = maxHeadBytes, true
+	defer func() { c.bounded.left, c.bounded.recording, c.bounded.recorded = math.MaxInt64, false, nil }()
 	for {
 		buffered, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
@@ -65,8 +65,8 @@
 	}
 }
 
-// checkHead returns an error for a response whose head, byte by byte as it came, is none or is
-// that of two responses.
+// checkHead returns an error unless a head is a valid one of a single response. head has its bytes
+// as they came.
 func checkHead(response *http.Response, head []byte) error {
 	if err := framed.CheckHead(response); err != nil {
 		return err
