--- a/entry/upload_test.go
+++ b/entry/upload_test.go
@@ -75,4 +75,11 @@
 			<-ended
 		})).To(Equal(uploadTries))
 	})
+
+	It("is passed on whole if its connection is reset after that end, with the upload unread", func() {
+		Expect(send(func(c *net.TCPConn, _ chan struct{}) {
+			_ = c.CloseWrite()
+			time.Sleep(maxResetDelay)
+		})).To(Equal(uploadTries))
+	})
 })
