Let suspected requests expire a while after their last death

A request that upstreams died of was refused for as long as any two instances ran, not for ten minutes: each exchange told of it without the time that had passed, and the receiver kept it for ten minutes from then on. The lease row did the same after each start.

The exchange and the row say when a suspect expires, and only a death that is new makes a known one expire later, so that the time of the calls doesn't add up.

Tests, before: both fail (two instances that tell each other, 0.6 s a call, until 10 s after the expiry; the lease row). With the time told, but each told expiry taken over, the first fails too. After: both pass.

--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -121,10 +121,11 @@
 
 // report returns the request of an exchange.
 func (l *Loop) report(report demand.Report) *syncpb.ExchangeRequest {
+	wall := time.Now()
 	request := &syncpb.ExchangeRequest{
 		Member:   l.wireMember(),
 		Members:  l.position.members,
-		Suspects: encodeSuspects(l.state.ledger.Suspects(time.Now())),
+		Suspects: encodeSuspects(l.state.ledger.Suspects(wall), wall),
 	}
 	l.describeList(request)
 	if l.state.catalog != nil {
--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -72,6 +72,7 @@
 	Deaths      []string `json:"deaths"`
 	Survived    []string `json:"survived,omitempty"`
 	Proven      bool     `json:"proven,omitempty"`
+	ExpiresInMS int64    `json:"expires_in_ms,omitempty"`
 }
 
 const (
@@ -110,7 +111,7 @@
 		concurrency[string(service)] = wireConcurrency{known.Loads, known.LimitReached}
 	}
 	value, err := json.Marshal(wireLease{
-		Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now())),
+		Holder: string(row.Holder), Address: row.Address, Released: row.Released, Renewed: row.Renewed, Incarnation: l.lease.Incarnation(), StoreConcurrency: concurrency, Suspects: encodeStoredSuspects(l.state.ledger.Suspects(time.Now()), time.Now()),
 		Parts: encodeStoredParts(l.options.Parts.Evidence(clock.Now()), clock.Now()), Versions: encodeStoredVersions(l.state.history.Account(clock.Now()), clock.Now()),
 	})
 	if err != nil {
@@ -120,12 +121,15 @@
 }
 
 // encodeStoredSuspects returns the suspects with the most deaths.
-func encodeStoredSuspects(suspects []poison.Suspect) []wireSuspect {
+func encodeStoredSuspects(suspects []poison.Suspect, now time.Time) []wireSuspect {
 	stored := make([]wireSuspect, 0, min(len(suspects), maxStoredSuspects))
 	for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
 		outlived := suspect.Outlived()
 		outlived = outlived[max(0, len(outlived)-maxStoredOutlived):]
-		stored = append(stored, wireSuspect{Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: outlived, Proven: suspect.Proven()})
+		stored = append(stored, wireSuspect{
+			Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: outlived, Proven: suspect.Proven(),
+			ExpiresInMS: suspect.Expires().Sub(now).Milliseconds(),
+		})
 	}
 	return stored
 }
@@ -133,7 +137,7 @@
 func decodeStoredSuspects(stored []wireSuspect, now time.Time) []poison.Suspect {
 	suspects := make([]poison.Suspect, 0, len(stored))
 	for _, wire := range stored {
-		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, now.Add(suspectRetention)).Outliving(wire.Survived, wire.Proven))
+		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, suspectExpiry(wire.ExpiresInMS, now)).Outliving(wire.Survived, wire.Proven))
 	}
 	return suspects
 }
--- a/coord/suspects_internal_test.go
+++ b/coord/suspects_internal_test.go
@@ -52,7 +52,7 @@
 		here.RecordDeath(7, "x/1", now)
 		here.RecordSurvival(7)
 		there.RecordDeath(7, "x/1", now)
-		there.Merge(decodeSuspects(encodeSuspects(here.Suspects(now)), now), now)
+		there.Merge(decodeSuspects(encodeSuspects(here.Suspects(now), now), now), now)
 		Expect(there.Verdict(7, now)).To(Equal(poison.Clean))
 		for _, name := range []string{"y/1", "z/1"} {
 			there.RecordDeath(7, name, now)
@@ -60,6 +60,40 @@
 		Expect(there.Verdict(7, now)).To(Equal(poison.Suspected))
 	})
 
+	// Instances told each other of such requests without the time that had passed, so that they were
+	// refused for as long as any two instances ran.
+	It("are forgotten a while after the last death, however often instances tell each other of them", func() {
+		now := time.Now()
+		here, there := poison.New(), poison.New()
+		here.RecordDeath(7, "x/1", now)
+		here.RecordDeath(7, "y/1", now)
+		tell := func(from, to *poison.Ledger) {
+			told := encodeSuspects(from.Suspects(now), now)
+			now = now.Add(exchangeTimeout)
+			to.Merge(decodeSuspects(told, now), now)
+		}
+		expires := here.Suspects(now)[0].Expires()
+		for now.Before(expires.Add(10 * time.Second)) {
+			tell(here, there)
+			tell(there, here)
+			now = now.Add(minExchangeInterval)
+		}
+		Expect(here.Verdict(7, now)).To(Equal(poison.Clean))
+		Expect(there.Verdict(7, now)).To(Equal(poison.Clean))
+	})
+
+	It("are forgotten a while after the last death, however often the lease row is read", func() {
+		now := time.Now()
+		before := newLoop("a", site.OrderAccepted)
+		before.becomeCoordinator()
+		before.state.ledger.Merge([]poison.Suspect{poison.NewSuspect(7, []string{"x/1", "y/1"}, now.Add(time.Minute))}, now)
+		value := before.encodeLease(lease.Row{Holder: "a", Address: "a:2"})
+		after := newLoop("b", site.OrderAccepted)
+		after.decodeLease(table.NewRow(leaseKey, value, 9))
+		Expect(after.state.ledger.Verdict(7, now)).To(Equal(poison.Refused))
+		Expect(after.state.ledger.Verdict(7, now.Add(2*time.Minute))).To(Equal(poison.Clean))
+	})
+
 	It("take a bounded part of the lease row, however many deaths were outlived", func() {
 		now := time.Now()
 		l := newLoop("a", site.OrderAccepted)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -174,7 +174,8 @@
 }
 
 // Merge adds suspects received from another instance. A death that is received
-// twice counts once, and one that any instance knows to be outlived not at all.
+// twice counts once, and one that any instance knows to be outlived not at all. Only a
+// death that is new makes a known suspect expire later.
 func (l *Ledger) Merge(suspects []Suspect, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,6 +184,9 @@
 			continue
 		}
 		known, ok := l.suspects[suspect.fingerprint]
+		if ok && !known.expires.After(now) {
+			known, ok = Suspect{}, false
+		}
 		if !ok && len(l.suspects) >= maxSuspects {
 			l.removeExpired(now)
 		}
@@ -190,10 +194,12 @@
 		known.proven = known.proven || suspect.proven || l.wasAnswered(suspect.fingerprint)
 		known.outlived = latest(known.outlived, suspect.outlived)
 		before := len(known.deaths)
-		if known.deaths = unexplained(known, suspect.deaths); len(known.deaths) > before {
+		known.deaths = unexplained(known, suspect.deaths)
+		added := len(known.deaths) > before
+		if added {
 			l.revision++
 		}
-		if suspect.expires.After(known.expires) {
+		if (added || !ok) && suspect.expires.After(known.expires) {
 			known.expires = suspect.expires
 		}
 		l.suspects[suspect.fingerprint] = known
