Try a request again that upstreams died of, instead of refusing it for good

Callers of a page that many share got 503 at every instance, for as long as any instance ran, after several upstreams had ended at one moment while they had requests for it; a restart of all instances changed nothing.

Cause, from the logs: deaths are evidence against a request, answers against that, and a refused request is never sent. So no answer came after the verdict. It clears only where a request that is in flight at the time, or sent once more, is answered after the deaths are known.

A refused fingerprint has three trials now: 1 s after the last death, 5 s after the first trial and ten minutes after the second. A refused request that arrives when one is due waits up to 1 s for the coordinator to grant it, with the exchange, to one instance at a time; others are refused at once, with the time of the next trial as Retry-After if that is near. An answer clears the fingerprint everywhere. A trial that reached no upstream is given back. Trials are in the lease row like deaths, so that a request that does crash upstreams reaches three more at the most, also if all instances start again. A request that waits is checked once more when it is sent.

The suspects' codecs move to a file of their own (coord/suspects.go). Log lines: trial_granted, request_tried, request_cleared; upstream_died says whether the request is refused from then on.

Tests, seen to fail without trials: the scripts of poison (7 of 7), random histories (a page stays refused), coord (5 of 5; the sixth came with the returned trials), the relay's scripts (3), and among real processes (4 of 4: not answered before, answered before, and all instances killed after or before the upstreams end). New and held before too: a request that crashes each upstream, among real processes, with and without a kill of all.

--- a/coord/leasing.go
+++ b/coord/leasing.go
@@ -12,7 +12,6 @@
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/lease"
 	"cardamomcourse.example/cardamom/plan"
-	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/table"
 )
 
@@ -66,22 +65,6 @@
 	Versions *wireVersions `json:"versions,omitempty"`
 }
 
-// wireSuspect is a request that upstreams died of.
-type wireSuspect struct {
-	Fingerprint uint64   `json:"fingerprint"`
-	Deaths      []string `json:"deaths"`
-	Survived    []string `json:"survived,omitempty"`
-	Proven      bool     `json:"proven,omitempty"`
-	ExpiresInMS int64    `json:"expires_in_ms,omitempty"`
-}
-
-const (
-	// maxStoredSuspects bounds the suspects in the lease row, which is written at each
-	// renewal, and maxStoredOutlived the deaths of each that were outlived.
-	maxStoredSuspects = 64
-	maxStoredOutlived = 2
-)
-
 type wireConcurrency struct {
 	Loads int  `json:"loads"`
 	Bound bool `json:"bound"`
@@ -120,28 +103,6 @@
 	return value
 }
 
-// encodeStoredSuspects returns the suspects with the most deaths.
-func encodeStoredSuspects(suspects []poison.Suspect, now time.Time) []wireSuspect {
-	stored := make([]wireSuspect, 0, min(len(suspects), maxStoredSuspects))
-	for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
-		outlived := suspect.Outlived()
-		outlived = outlived[max(0, len(outlived)-maxStoredOutlived):]
-		stored = append(stored, wireSuspect{
-			Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: outlived, Proven: suspect.Proven(),
-			ExpiresInMS: suspect.Expires().Sub(now).Milliseconds(),
-		})
-	}
-	return stored
-}
-
-func decodeStoredSuspects(stored []wireSuspect, now time.Time) []poison.Suspect {
-	suspects := make([]poison.Suspect, 0, len(stored))
-	for _, wire := range stored {
-		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.Fingerprint), wire.Deaths, suspectExpiry(wire.ExpiresInMS, now)).Outliving(wire.Survived, wire.Proven))
-	}
-	return suspects
-}
-
 // stepLease reads, takes or renews the lease if that is due.
 func (l *Loop) stepLease(now time.Time) {
 	if l.term != nil && !l.lease.Held() {
@@ -315,12 +276,13 @@
 	}()
 }
 
-// deaths returns a number that grows with each death of an upstream that this instance learns of.
+// deaths returns a number that grows with each death of an upstream, and each trial of a request
+// that upstreams died of, that this instance learns of.
 func (l *Loop) deaths() uint64 { return l.state.ledger.Revision() + l.options.Parts.Revision() }
 
-// deathSeen makes the next exchange start early, so that the death is in the lease row soon: all
-// instances may be killed at once, and nobody else has seen it.
-func (l *Loop) deathSeen() {
+// suspectsChanged makes the next exchange start early, so that a death or a trial is in the lease
+// row soon: all instances may be killed at once, and nobody else has seen it.
+func (l *Loop) suspectsChanged() {
 	go l.post(func(time.Time) { l.reportSoon = true })
 }
 
--- a/coord/loop.go
+++ b/coord/loop.go
@@ -186,7 +186,7 @@
 	l.origins, l.schedulers = newOriginTeller(l), newSchedulers()
 	options.Demand.OnStart(l.requestStarted)
 	options.Parts.OnChange(l.partsChanged)
-	options.Ledger.OnDeath(l.deathSeen)
+	options.Ledger.OnChange(l.suspectsChanged)
 	options.Notices.OnLeave(l.leaveNoticed)
 	options.Notices.OnWait(l.waitNoticed)
 	return l
--- a/coord/serve.go
+++ b/coord/serve.go
@@ -6,13 +6,10 @@
 	"time"
 
 	cardamom "cardamomcourse.example/cardamom"
-	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/syncpb"
 )
 
 const (
-	// suspectRetention is how long a suspect is kept if it isn't told when it expires.
-	suspectRetention = 10 * time.Minute
 	// answerTimeout bounds how long a call waits for the control goroutine.
 	answerTimeout = 2 * time.Second
 )
@@ -87,8 +84,7 @@
 	for id, others := range t.sums.Others(sender.report) {
 		reply.Loads = append(reply.Loads, &syncpb.Load{Upstream: string(id), Running: int32(others.Running), Failures: int32(others.Failures)})
 	}
-	wall := time.Now()
-	reply.Suspects = encodeSuspects(l.state.ledger.Suspects(wall), wall)
+	reply.Suspects = l.suspectsFor(cardamom.InstanceID(request.GetMember().GetInstance()), request.GetSuspects(), time.Now())
 	reply.Limits = encodeLimits(l.options.Limits.Limits(), now)
 	return reply
 }
@@ -186,30 +182,3 @@
 		p.Suspect(cardamom.UpstreamID(id), now)
 	}
 }
-
-func encodeSuspects(suspects []poison.Suspect, now time.Time) []*syncpb.Suspect {
-	list := make([]*syncpb.Suspect, 0, len(suspects))
-	for _, suspect := range suspects {
-		list = append(list, &syncpb.Suspect{
-			Fingerprint: uint64(suspect.Fingerprint()), Deaths: suspect.Deaths(), Survived: suspect.Outlived(), Proven: suspect.Proven(),
-			ExpiresInMs: suspect.Expires().Sub(now).Milliseconds(),
-		})
-	}
-	return list
-}
-
-func decodeSuspects(list []*syncpb.Suspect, now time.Time) []poison.Suspect {
-	suspects := make([]poison.Suspect, 0, len(list))
-	for _, wire := range list {
-		suspects = append(suspects, poison.NewSuspect(poison.Fingerprint(wire.GetFingerprint()), wire.GetDeaths(), suspectExpiry(wire.GetExpiresInMs(), now)).Outliving(wire.GetSurvived(), wire.GetProven()))
-	}
-	return suspects
-}
-
-// suspectExpiry returns when a suspect expires that another instance, or the lease row, tells of.
-func suspectExpiry(remainingMS int64, now time.Time) time.Time {
-	if remainingMS <= 0 {
-		return now.Add(suspectRetention)
-	}
-	return now.Add(time.Duration(remainingMS) * time.Millisecond)
-}
--- a/fakes/host/behave.go
+++ b/fakes/host/behave.go
@@ -122,7 +122,7 @@
 		w.Header().Set("Server-Seal", "seal."+u.spec.ID)
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
-		u.crash()
+		u.End()
 		panic(http.ErrAbortHandler)
 	case Hang:
 		select {
--- a/fakes/host/crash.go
+++ b/fakes/host/crash.go
@@ -35,9 +35,9 @@
 	return u.crashedAt, slices.Contains(u.crashes, part)
 }
 
-// crash ends the upstream as its process would: no new connection is accepted before the
+// End ends the upstream as its process would: no new connection is accepted before the
 // open ones break, and what it has written arrives.
-func (u *Upstream) crash() {
+func (u *Upstream) End() {
 	_ = u.server.Listener.Close()
 	if u.link != nil {
 		_ = u.link.listener.Close()
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -7,6 +7,8 @@
 // deaths is refused until its record expires. A request that is answered clears its
 // fingerprint of all deaths so far, and from then on four deaths are needed: callers may share
 // a request, such as one for a page, and upstreams that end for other causes have it in flight.
+// A refused fingerprint gets a few trials: one request with it at a time is sent, at one
+// instance, and clears it if it is answered.
 //
 // A shared part of prompts is suspected when an upstream died before a request with the
 // part got the first event of its answer, and refused after three such deaths. A request
@@ -19,6 +21,8 @@
 //	ledger.RecordDeath(fingerprint, "i-3/17", now)
 //	if ledger.Verdict(fingerprint, now) == poison.Refused { ... }
 //	ledger.RecordSurvival(fingerprint)
+//	if _, ok := ledger.AskTrial(fingerprint, now); ok { ... }
+//	if ledger.MayTry(fingerprint, now) && ledger.Try(fingerprint, now) { ... }
 //
 //	parts := poison.NewParts()
 //	parts.Survived("muse-models", []string{"5c1e07a2"}, now)
@@ -60,8 +64,9 @@
 	maxOutlived = 32
 	// maxAnswered bounds each of the two generations of fingerprints that were answered.
 	maxAnswered = 4096
-	// suspectTTL is how long a suspect is kept after the last death recorded for it.
-	suspectTTL = 10 * time.Minute
+	// suspectTTL is how long a suspect is kept after the last death recorded for it, longer than
+	// its trials take.
+	suspectTTL = time.Hour
 	// maxSuspects bounds the ledger.
 	maxSuspects = 4096
 )
@@ -77,6 +82,16 @@
 	// proven means that requests with the fingerprint have been answered.
 	proven  bool
 	expires time.Time
+	// trials name the requests that were sent although the fingerprint was refused, since one was
+	// last answered. tried is when the last of them was.
+	trials []string
+	tried  time.Time
+	// wanted means that a request waits for a trial at the instance that tells of the suspect, and
+	// granted names the trial that the instance it is told to may use.
+	wanted  bool
+	granted string
+	// next is this instance's own knowledge of the next trial.
+	next trial
 }
 
 // NewSuspect returns a suspect received from another instance.
@@ -91,6 +106,26 @@
 	return s
 }
 
+// Tried returns the suspect with the trials since a request with its fingerprint was last
+// answered, and when the last of them was.
+func (s Suspect) Tried(trials []string, tried time.Time) Suspect {
+	s.trials, s.tried = trials, tried
+	return s
+}
+
+// Wanting returns the suspect as told by an instance where a request waits for a trial, or not.
+func (s Suspect) Wanting(wanted bool) Suspect {
+	s.wanted = wanted
+	return s
+}
+
+// Granting returns the suspect as told to an instance that may use a trial, none if the name is
+// empty.
+func (s Suspect) Granting(trial string) Suspect {
+	s.granted = trial
+	return s
+}
+
 // Fingerprint returns the request's fingerprint.
 func (s Suspect) Fingerprint() Fingerprint { return s.fingerprint }
 
@@ -107,6 +142,24 @@
 // Expires returns when the suspect is removed.
 func (s Suspect) Expires() time.Time { return s.expires }
 
+// Trials returns the trials since a request with the fingerprint was last answered, and when the
+// last of them was.
+func (s Suspect) Trials() ([]string, time.Time) { return s.trials, s.tried }
+
+// Wanted reports whether a request waits for a trial at the instance that tells of the suspect.
+func (s Suspect) Wanted() bool { return s.wanted }
+
+// died returns when the last of the deaths was noticed.
+func (s Suspect) died() time.Time { return s.expires.Add(-suspectTTL) }
+
+// refused reports whether requests with the fingerprint are refused.
+func (s Suspect) refused() bool {
+	return len(s.deaths) >= refuseProvenAfter || len(s.deaths) >= refuseAfter && !s.proven
+}
+
+// Expiry returns when a suspect expires whose last death was noticed at a time.
+func Expiry(died time.Time) time.Time { return died.Add(suspectTTL) }
+
 // Ledger records deaths by fingerprint. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
@@ -114,24 +167,27 @@
 	// answered and olderAnswered are two generations of fingerprints that were answered here.
 	answered      map[Fingerprint]struct{}
 	olderAnswered map[Fingerprint]struct{}
-	// revision grows with each death that is new to the ledger.
+	// revision grows with each death, trial and answer after a death that is new to the ledger.
 	revision uint64
-	onDeath  func()
+	onChange func()
+	// trialsAllowed means that this instance grants itself trials.
+	trialsAllowed bool
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{suspects: make(map[Fingerprint]Suspect), answered: make(map[Fingerprint]struct{}), onDeath: func() {}}
+	return &Ledger{suspects: make(map[Fingerprint]Suspect), answered: make(map[Fingerprint]struct{}), onChange: func() {}}
 }
 
-// OnDeath sets a function that is called when this instance has seen a death.
-func (l *Ledger) OnDeath(f func()) {
+// OnChange sets a function that is called when this instance knows something that others lack.
+func (l *Ledger) OnChange(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.onDeath = f
+	l.onChange = f
 }
 
-// Revision returns a number that grows with each death that is new to the ledger.
+// Revision returns a number that grows with each death, trial and answer after a death that is
+// new to the ledger.
 func (l *Ledger) Revision() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -141,26 +197,33 @@
 // RecordDeath records the death of an upstream process while it ran a request
 // with the fingerprint.
 func (l *Ledger) RecordDeath(fingerprint Fingerprint, death string, now time.Time) {
-	l.Merge([]Suspect{NewSuspect(fingerprint, []string{death}, now.Add(suspectTTL))}, now)
+	l.Merge([]Suspect{NewSuspect(fingerprint, []string{death}, Expiry(now))}, now)
 	l.mu.Lock()
-	notify := l.onDeath
+	notify := l.onChange
 	l.mu.Unlock()
 	notify()
 }
 
 // RecordSurvival records that a request with the fingerprint was answered: the upstreams that
-// died with it so far had another cause.
-func (l *Ledger) RecordSurvival(fingerprint Fingerprint) {
+// died with it so far had another cause. It reports whether the fingerprint was refused until then.
+func (l *Ledger) RecordSurvival(fingerprint Fingerprint) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if _, ok := l.answered[fingerprint]; !ok && len(l.answered) >= maxAnswered {
 		l.answered, l.olderAnswered = make(map[Fingerprint]struct{}), l.answered
 	}
 	l.answered[fingerprint] = struct{}{}
+	notify, refused := func() {}, false
 	if known, ok := l.suspects[fingerprint]; ok && (len(known.deaths) > 0 || !known.proven) {
-		known.outlived, known.deaths, known.proven = latest(known.outlived, known.deaths), nil, true
+		refused = known.refused()
+		known = known.forget(slices.Concat(known.trials, known.deaths))
+		known.next, known.proven = trial{}, true
 		l.suspects[fingerprint] = known
+		l.revision++
+		notify = l.onChange
 	}
+	l.mu.Unlock()
+	notify()
+	return refused
 }
 
 // wasAnswered reports whether a request with the fingerprint was answered here, as far as that
@@ -192,17 +255,23 @@
 		}
 		known.fingerprint = suspect.fingerprint
 		known.proven = known.proven || suspect.proven || l.wasAnswered(suspect.fingerprint)
-		known.outlived = latest(known.outlived, suspect.outlived)
 		before := len(known.deaths)
+		known = known.forget(suspect.outlived)
 		known.deaths = unexplained(known, suspect.deaths)
-		added := len(known.deaths) > before
-		if added {
+		added, trials := len(known.deaths) > before, len(known.trials)
+		known.trials = without(append(slices.Clone(known.trials), suspect.trials...), known.outlived)
+		tried := len(known.trials) > trials
+		if added || tried || len(known.deaths) < before {
 			l.revision++
 		}
 		if (added || !ok) && suspect.expires.After(known.expires) {
 			known.expires = suspect.expires
 		}
+		if tried && suspect.tried.After(known.tried) {
+			known.tried = suspect.tried
+		}
 		l.suspects[suspect.fingerprint] = known
+		l.receive(suspect.fingerprint, suspect.granted, now)
 	}
 }
 
@@ -210,11 +279,15 @@
 func (l *Ledger) Verdict(fingerprint Fingerprint, now time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.verdict(fingerprint, now)
+}
+
+func (l *Ledger) verdict(fingerprint Fingerprint, now time.Time) Verdict {
 	suspect, ok := l.suspects[fingerprint]
 	switch {
 	case !ok || !suspect.expires.After(now) || len(suspect.deaths) == 0:
 		return Clean
-	case len(suspect.deaths) >= refuseProvenAfter || len(suspect.deaths) >= refuseAfter && !suspect.proven:
+	case suspect.refused():
 		return Refused
 	default:
 		return Suspected
@@ -228,7 +301,7 @@
 	l.removeExpired(now)
 	suspects := make([]Suspect, 0, len(l.suspects))
 	for _, suspect := range l.suspects {
-		suspects = append(suspects, suspect)
+		suspects = append(suspects, suspect.Wanting(suspect.next.wanted(now)))
 	}
 	sort.Slice(suspects, func(i, j int) bool {
 		if len(suspects[i].deaths) != len(suspects[j].deaths) {
@@ -261,13 +334,17 @@
 // unexplained returns the sorted union of a suspect's deaths and others, without those that are
 // outlived. It has refuseProvenAfter at most, as further deaths don't change the verdict.
 func unexplained(s Suspect, added []string) []string {
-	names := slices.Concat(s.deaths, added)
-	names = slices.DeleteFunc(names, func(name string) bool { return slices.Contains(s.outlived, name) })
-	slices.Sort(names)
-	names = slices.Compact(names)
+	names := without(slices.Concat(s.deaths, added), s.outlived)
 	return names[:min(len(names), refuseProvenAfter)]
 }
 
+// without returns the names sorted, each once, without others.
+func without(names, others []string) []string {
+	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(others, name) })
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // latest returns the names with others added at the end, without the first ones if there are more
 // than maxOutlived.
 func latest(names, added []string) []string {
--- a/relay/death.go
+++ b/relay/death.go
@@ -6,7 +6,6 @@
 
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/conns"
-	"cardamomcourse.example/cardamom/pick"
 	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/site"
 )
@@ -28,7 +27,8 @@
 	}
 	death := string(upstream.ID) + "/" + time.UnixMilli(upstream.StartedMs).UTC().Format(time.RFC3339Nano)
 	x.server.Ledger.RecordDeath(x.fingerprint, death, time.Now())
-	x.log.Warn("upstream_died", "request", x.info.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint, "parts", x.loggedParts(), "progress", x.progress)
+	refused := x.server.Ledger.Verdict(x.fingerprint, time.Now()) == poison.Refused
+	x.log.Warn("upstream_died", "request", x.info.ID, "upstream", upstream.ID, "fingerprint", x.fingerprint, "refused", refused, "parts", x.loggedParts(), "progress", x.progress)
 	if state == conns.Refusing {
 		// One that doesn't answer at all may be behind a link that is cut.
 		x.logParts(x.server.Parts.Died(x.service, x.info.SharedParts, poison.NewDeath(death, x.sentAt, noticed, x.progress == answerBegun), noticed))
@@ -41,7 +41,9 @@
 	if x.viaHop {
 		return
 	}
-	x.server.Ledger.RecordSurvival(x.fingerprint)
+	if x.server.Ledger.RecordSurvival(x.fingerprint) {
+		x.log.Warn("request_cleared", "request", x.info.ID, "service", x.service, "fingerprint", x.fingerprint)
+	}
 	x.logParts(x.server.Parts.Survived(x.service, x.info.SharedParts, clock.Now()))
 }
 
@@ -102,22 +104,3 @@
 	verdict, _ := x.server.Parts.Verdict(x.service, x.info.SharedParts, clock.Now())
 	return verdict == poison.Clean
 }
-
-// leastBusy returns the candidates with the fewest requests in flight if a part of the
-// prompt is suspected, so that few others end with the upstream, else all.
-func (x *exchange) leastBusy(usable []pick.Candidate) []pick.Candidate {
-	if len(usable) == 0 || x.hasCleanParts() {
-		return usable
-	}
-	least := usable[0].Running
-	for _, candidate := range usable {
-		least = min(least, candidate.Running)
-	}
-	var chosen []pick.Candidate
-	for _, candidate := range usable {
-		if candidate.Running == least {
-			chosen = append(chosen, candidate)
-		}
-	}
-	return chosen
-}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -130,6 +130,10 @@
 	refusedPart string
 	// triesPart is a refused part for which the request was let through as a trial.
 	triesPart string
+	// onTrial means that the request was let through although its like is refused, and trial names
+	// the trial if it is one of this instance.
+	onTrial bool
+	trial   string
 	// isolatedFor is how long the request was held back for a suspected part of its prompt
 	// while there was an upstream for it, isolatedAt when it was last.
 	isolatedFor time.Duration
@@ -175,7 +179,7 @@
 		x.giveUp("retry_budget")
 		return false
 	}
-	return x.send(upstream, now)
+	return x.admitTrial() && x.send(upstream, now)
 }
 
 // allowRetry reports whether the retry budget allows to send the request again, to an
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -95,6 +95,7 @@
 	origins *origins
 	memory  *memory.Account
 	reach   *reach.Tracker
+	ledger  *poison.Ledger
 	relay   *relay.Server
 	pool    *conns.Pool
 	views   *views
@@ -107,7 +108,7 @@
 }
 
 func newFixture(result coord.AwaitResult, names ...string) *fixture {
-	w := &fixture{memory: memory.New(fixtureMemory), suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, lenders: &lenders{}, credits: &credits{}, origins: &origins{book: origin.NewBook()}, reach: reach.New(), pool: conns.New(nil), views: &views{}}
+	w := &fixture{memory: memory.New(fixtureMemory), suspected: make(chan []cardamom.UpstreamID, 1), permits: &permits{}, lenders: &lenders{}, credits: &credits{}, origins: &origins{book: origin.NewBook()}, reach: reach.New(), ledger: poison.New(), pool: conns.New(nil), views: &views{}}
 	var upstreams []*site.Upstream
 	for _, id := range append([]string{"i-1"}, names...) {
 		for _, service := range []string{"plain", "models"} {
@@ -143,7 +144,7 @@
 	server := relay.New(relay.Options{
 		Instance: "front-1", Dialect: platform.Dialect{}, Views: w.views, Waiters: await.New(coordinator{result, w.suspected, &w.calls}),
 		Pool: w.pool, Demand: demand.New(), Health: health.New(), Pace: pace.New(),
-		Memory: w.memory, Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: poison.New(), Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Lenders: w.lenders, Credits: w.credits, KeyMaxAge: 5 * time.Second, ConfigurationInForce: 3 * time.Second, Alone: quota.NewShare(func() float64 { return 0 }), Origins: w.origins, Reach: w.reach, Peers: conns.New(nil), Metrics: metric.New(),
+		Memory: w.memory, Budget: retry.New(retry.Limits{Ratio: 20, Window: 10 * time.Second, Slack: 100}, 0), Ledger: w.ledger, Parts: poison.NewParts(), Limits: quota.NewBook(), Notices: notice.NewBook(), Permits: w.permits, Lenders: w.lenders, Credits: w.credits, KeyMaxAge: 5 * time.Second, ConfigurationInForce: 3 * time.Second, Alone: quota.NewShare(func() float64 { return 0 }), Origins: w.origins, Reach: w.reach, Peers: conns.New(nil), Metrics: metric.New(),
 		Leaving: func() bool { return closing.Err() != nil }, Closing: closing, Ending: ending, Logger: hclog.NewNullLogger(),
 	})
 	w.relay = server
--- a/relay/hop.go
+++ b/relay/hop.go
@@ -33,6 +33,8 @@
 	// hopCatalogHeader is the version of the catalog by which the first instance handles the
 	// request.
 	hopCatalogHeader = "Cardamom-Hop-Catalog"
+	// hopTrialHeader means that the request is sent for trial although its like is refused.
+	hopTrialHeader = "Cardamom-Hop-Trial"
 	// hopUpstreamHeader is the upstream that answered, as ID/START.
 	hopUpstreamHeader = "Cardamom-Hop-Upstream"
 	// hopSendsHeader is how often a refused request has reached upstreams.
@@ -60,6 +62,8 @@
 	hopped bool
 	runs   int
 	stream string
+	// trial means that the other instance uses a trial for the request.
+	trial bool
 }
 
 // IsHopped reports whether a request comes from another instance that could not reach an
@@ -73,11 +77,12 @@
 		http.Error(w, "invalid "+hopHeader, http.StatusBadRequest)
 		return
 	}
-	from := hop{hopped: true, runs: runs, stream: r.Header.Get(hopStreamHeader)}
+	from := hop{hopped: true, runs: runs, stream: r.Header.Get(hopStreamHeader), trial: r.Header.Get(hopTrialHeader) != ""}
 	version := r.Header.Get(hopCatalogHeader)
 	r.Header.Del(hopHeader)
 	r.Header.Del(hopStreamHeader)
 	r.Header.Del(hopCatalogHeader)
+	r.Header.Del(hopTrialHeader)
 	if s.hopped.Add(1) > maxHopped {
 		s.hopped.Add(-1)
 		s.Dialect.SetRetryAfter(w.Header(), defaultRetryDelay)
@@ -169,6 +174,9 @@
 		x.giveUp("retry_budget")
 		return false
 	}
+	if !x.admitTrial() {
+		return false
+	}
 	request := &conns.Request{Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, NonRepeatable: !x.route.Repeatable(), Header: x.hopRequestHeader()}
 	x.viaHop, x.firstEventWait, x.progress = true, nil, unanswered
 	defer func() { x.viaHop = false }()
@@ -206,6 +214,9 @@
 	if stream != "" {
 		header.Set(hopStreamHeader, stream)
 	}
+	if x.onTrial {
+		header.Set(hopTrialHeader, "1")
+	}
 	return header
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -313,10 +313,6 @@
 		s.Budget.CountRequest(x.service, now)
 	}
 	x.fingerprint = x.computeFingerprint()
-	if s.Ledger.Verdict(x.fingerprint, x.arrived) == poison.Refused {
-		x.refuse("crashes_upstreams", 0)
-		return
-	}
 	if x.refusePart() {
 		return
 	}
@@ -328,10 +324,11 @@
 		defer stop()
 	}
 	x.ctx = ctx
-	if !x.bindStream() {
+	if !x.awaitTrial() || !x.bindStream() {
 		return
 	}
 	defer x.returnCredit()
+	defer x.returnTrial()
 	for x.attempt() {
 	}
 }
