Clear a request in cardd of engines' deaths when one like it is answered

cardd refused a request that callers share, at all instances, after two engines had crashed at any time while it was in flight there, however many like it were answered before and after. It recorded deaths and never answers; digests told of deaths only.

An answer, or the first event of a stream, clears the request of the deaths so far, as in the front, and digests tell which deaths it has outlived. The first instance for a model tries a refused request: after 1 s, 5 s and ten minutes if one like it was ever answered, else after ten minutes, as before, when the record expired. Instances of cardd have no coordinator and learn late of each other's trials, and a request that crashes engines is to be refused after two of them. A trial that was not sent is given back. A suspected request or a trial goes to an engine that runs no other suspected one, as before.

--- a/ctrl/gossip.go
+++ b/ctrl/gossip.go
@@ -61,10 +61,7 @@
 		if i >= maxDigestSuspects {
 			break
 		}
-		digest.Suspects = append(digest.Suspects, &peerpb.Suspect{
-			Fingerprint: uint64(suspect.Fingerprint()), Upstreams: suspect.Deaths(),
-			ExpiresMs: suspect.Expires().UnixMilli(),
-		})
+		digest.Suspects = append(digest.Suspects, encodeSuspect(suspect))
 	}
 	return digest
 }
@@ -94,10 +91,22 @@
 	}
 }
 
+func encodeSuspect(suspect poison.Suspect) *peerpb.Suspect {
+	wire := &peerpb.Suspect{
+		Fingerprint: uint64(suspect.Fingerprint()), Upstreams: suspect.Deaths(), ExpiresMs: suspect.Expires().UnixMilli(),
+		Survived: suspect.Outlived(), Proven: suspect.Proven(),
+	}
+	if trials, tried := suspect.Trials(); len(trials) > 0 {
+		wire.Trials, wire.TriedMs = trials, tried.UnixMilli()
+	}
+	return wire
+}
+
 func suspectsFromWire(digest *peerpb.Digest) []poison.Suspect {
 	list := make([]poison.Suspect, 0, len(digest.GetSuspects()))
 	for _, wire := range digest.GetSuspects() {
-		list = append(list, poison.NewSuspect(poison.Fingerprint(wire.GetFingerprint()), wire.GetUpstreams(), time.UnixMilli(wire.GetExpiresMs())))
+		suspect := poison.NewSuspect(poison.Fingerprint(wire.GetFingerprint()), wire.GetUpstreams(), time.UnixMilli(wire.GetExpiresMs()))
+		list = append(list, suspect.Outliving(wire.GetSurvived(), wire.GetProven()).Tried(wire.GetTrials(), time.UnixMilli(wire.GetTriedMs())))
 	}
 	return list
 }
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -78,6 +78,10 @@
 	headerSent bool
 	// deaths has the deathID of each upstream process that died while it ran the job.
 	deaths []string
+	// onTrial means that the job may be sent although its like is refused, by the trial that is
+	// named trial.
+	onTrial bool
+	trial   string
 }
 
 // repeatable reports whether the job may be sent again after it may have run.
@@ -86,7 +90,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) {
-	if s.options.Ledger.Verdict(j.fingerprint, j.arrived) == poison.Refused {
+	if !s.admitSuspect(j) {
 		s.finish(w, cardamom.Refuse(cardamom.ReasonPoison, "this request has crashed its upstreams"))
 		return
 	}
@@ -96,6 +100,9 @@
 		return
 	}
 	response, refusal := s.attemptCompletion(ctx, w, r, j)
+	if refusal != nil && refusal.Outcome() == cardamom.NotRun {
+		s.options.Ledger.Return(j.fingerprint, j.trial)
+	}
 	s.settle(ctx, j.request, grant, refusal, response)
 	switch {
 	case j.headerSent:
@@ -143,16 +150,17 @@
 func (s *Server) attemptOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) (*bufferedResponse, *cardamom.Refusal) {
 	now := time.Now()
 	verdict := s.options.Ledger.Verdict(j.fingerprint, now)
-	if verdict == poison.Refused {
+	if verdict == poison.Refused && !j.onTrial {
 		return nil, cardamom.Fail(cardamom.ReasonPoison, "this request has crashed its upstreams")
 	}
 	queueCtx, span := s.options.Tracer.Start(ctx, "queue")
-	permit, refusal := s.options.Admission.Acquire(queueCtx, j.admissionRequest(verdict == poison.Suspected), now)
+	permit, refusal := s.options.Admission.Acquire(queueCtx, j.admissionRequest(verdict != poison.Clean), now)
 	span.End()
 	if refusal != nil {
 		return nil, refusal
 	}
 	response, refusal := s.sendToReplica(ctx, w, r, j, permit.Replica())
+	j.onTrial = false
 	result := admit.Done
 	if refusal != nil {
 		result = admit.Failed
@@ -199,6 +207,7 @@
 		s.recordDeath(ctx, j, replica)
 		return nil, s.responseFailure(ctx, err)
 	}
+	s.recordSurvival(j)
 	return &bufferedResponse{status: result.response.StatusCode, header: result.response.Header, body: body}, nil
 }
 
@@ -215,7 +224,7 @@
 }
 
 func (s *Server) relayStream(ctx context.Context, w http.ResponseWriter, j *job, replica cells.Replica, response *http.Response, resume resumer) *cardamom.Refusal {
-	lazy := &lazyHeaderWriter{ResponseWriter: w, job: j}
+	lazy := &lazyHeaderWriter{ResponseWriter: w, job: j, began: func() { s.recordSurvival(j) }}
 	result := relayResumed(ctx, lazy, response, resume)
 	s.options.Metrics.events.Add(int64(result.events))
 	switch {
@@ -238,12 +247,15 @@
 type lazyHeaderWriter struct {
 	http.ResponseWriter
 	job *job
+	// began is called before the header is sent.
+	began func()
 }
 
 func (l *lazyHeaderWriter) sendHeader() {
 	if l.job.headerSent {
 		return
 	}
+	l.began()
 	l.job.headerSent = true
 	l.Header().Set("Content-Type", "text/event-stream")
 	l.Header().Set("Cache-Control", "no-cache")
--- a/entry/death.go
+++ b/entry/death.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomcourse.example/cardamom/cells"
+	"cardamomcourse.example/cardamom/poison"
 	"cardamomcourse.example/cardamom/sleep"
 )
 
@@ -47,6 +48,30 @@
 	s.options.Ledger.RecordDeath(j.fingerprint, death, time.Now())
 }
 
+// recordSurvival records that the job got the beginning of its answer, so that upstreams have not
+// died of its like.
+func (s *Server) recordSurvival(j *job) {
+	if s.options.Ledger.RecordSurvival(j.fingerprint) {
+		s.options.Logger.Warn("request_cleared", "model", j.model.ID(), "fingerprint", j.fingerprint)
+	}
+}
+
+// admitSuspect reports whether the job may be sent as far as upstreams that died of its like are
+// concerned. One that is refused may be sent for trial, by the first instance for its model.
+func (s *Server) admitSuspect(j *job) bool {
+	if s.options.Ledger.Verdict(j.fingerprint, j.arrived) != poison.Refused {
+		return true
+	}
+	if !s.options.Views.Load().IsFirst(j.model) {
+		return false
+	}
+	if j.trial, j.onTrial = s.options.Ledger.TakeTrial(j.fingerprint, time.Now()); !j.onTrial {
+		return false
+	}
+	s.options.Logger.Warn("request_tried", "model", j.model.ID(), "fingerprint", j.fingerprint)
+	return true
+}
+
 // deathID identifies the death of the upstream process that ran the job by the
 // upstream and its incarnation. The view may still show the incarnation of an
 // earlier process. If the job has already seen that process die, the death is of
--- a/node/provide.go
+++ b/node/provide.go
@@ -29,7 +29,7 @@
 var Set = wire.NewSet(
 	provideIncarnation, provideStore, provideLister, provideEngines, provideDialer, provideKeeper, provideViews,
 	provideAdmission, provideLoop, provideTracer, provideMetrics, provideEntry, provideLinkServer, provideLinkClaims,
-	poison.New, claim.NewRegistry, newLoopRef, New,
+	provideLedger, claim.NewRegistry, newLoopRef, New,
 )
 
 // loopRef refers to the control loop. The admission controller, which is built
@@ -129,3 +129,10 @@
 		Logger: logger.Named("entry"),
 	})
 }
+
+// provideLedger returns a ledger for instances without a coordinator.
+func provideLedger() *poison.Ledger {
+	ledger := poison.New()
+	ledger.SetCautious(true)
+	return ledger
+}
--- a/node/wire_gen.go
+++ b/node/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"cardamomcourse.example/cardamom/claim"
 	"cardamomcourse.example/cardamom/conf"
-	"cardamomcourse.example/cardamom/poison"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -29,7 +28,7 @@
 	nodeLoopRef := newLoopRef()
 	controller := provideAdmission(settings, nodeLoopRef)
 	viewStore := provideViews(settings)
-	ledger := poison.New()
+	ledger := provideLedger()
 	registry := claim.NewRegistry()
 	loop := provideLoop(settings, incarnation, store, lister, http, dialer, controller, viewStore, ledger, registry, logger, nodeLoopRef)
 	claimClient := provideLinkClaims(settings, registry, viewStore, dialer)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -170,8 +170,9 @@
 	// revision grows with each death, trial and answer after a death that is new to the ledger.
 	revision uint64
 	onChange func()
-	// trialsAllowed means that this instance grants itself trials.
-	trialsAllowed bool
+	// cautious means that a fingerprint that was never answered is tried only after the longest
+	// delay.
+	cautious bool
 }
 
 // New returns an empty ledger.
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -35,6 +35,9 @@
 	"cardamomcourse.example/cardamom/site"
 )
 
+// grantInterval is the time between two looks for trials that are asked for.
+const grantInterval = 50 * time.Millisecond
+
 // views returns a view that changes only if the test does it.
 type views struct {
 	view atomic.Pointer[coord.View]
@@ -153,6 +156,29 @@
 	return w
 }
 
+// grantTrials grants the trials that are asked for, as a coordinator does.
+func (w *fixture) grantTrials() {
+	ticker := time.NewTicker(grantInterval)
+	done := make(chan struct{})
+	DeferCleanup(func() { close(done) })
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+			case <-done:
+				return
+			}
+			now := time.Now()
+			for _, suspect := range w.ledger.Suspects(now) {
+				if suspect.Wanted() {
+					w.ledger.Merge([]poison.Suspect{suspect.Granting(w.ledger.Grant(suspect.Fingerprint(), now))}, now)
+				}
+			}
+		}
+	}()
+}
+
 // setTimeout makes the view's catalog have streams with a timeout of their route.
 func (w *fixture) setTimeout(timeout time.Duration) {
 	route, ok := w.catalog.Match("h.example", "/stream/")
--- a/route/view.go
+++ b/route/view.go
@@ -127,6 +127,12 @@
 	return peers.Member{}, false
 }
 
+// IsFirst reports whether this instance is the first of those that can serve the model.
+func (v *View) IsFirst(model *policy.Model) bool {
+	candidates := v.candidates(model)
+	return len(candidates) > 0 && candidates[0].Instance().ID == v.Self.ID
+}
+
 // candidates returns the active members that follow the model's cells, in the order
 // of the cells and, within a data centre, by rendezvous hash of the model. If there
 // are none it returns all active members.
