--- a/front/settings.go
+++ b/front/settings.go
@@ -139,6 +139,10 @@
 // replicas the models of a service get.
 func (s *Settings) Profiles() coord.Profiles { return s.profiles }
 
+// KeyMaxAge returns the age of the configuration from which on no request with a key is served, 0
+// if there is none.
+func (s *Settings) KeyMaxAge() time.Duration { return s.keyMaxAge }
+
 // SoundParts returns the parts of prompts that are never refused, whatever upstreams die of.
 func (s *Settings) SoundParts() []poison.Part { return s.soundParts }
 
@@ -187,7 +191,7 @@
 	} `json:"retries"`
 	Keys struct {
 		// MaxAgeMS is the age of the configuration from which on no request with a key is
-		// served: keys may have been taken away since. 0 sets no limit.
+		// served: keys may have been taken away since. 0 and null set no limit.
 		MaxAgeMS float64 `json:"max_age_ms"`
 	} `json:"keys"`
 	Profiles map[string]profileWire `json:"profiles"`
