Take no answer whose status is above 599

A caller got an upstream's answer with a status such as 600 or 999, sealed, as the answer to its request; one without a length and one with an empty body too. The protocol has no such status, so nothing says what it means: the upstream is in trouble. A write to the store with such an answer counted as not done, though it may have been.

Cause: net/http takes each status of three digits, and framed.CheckHead, which refuses those below 100, had no upper bound.

Such an answer is none now, like one with a status below 100: 502 without a seal, sent again where the route allows it; may-have-run in cardd; an unknown outcome of a write to the store, which is read back.

--- a/framed/head.go
+++ b/framed/head.go
@@ -10,14 +10,17 @@
 // ErrInvalidHead means that the protocol allows no response with such a head.
 var ErrInvalidHead = eris.New("response has an invalid head")
 
-// minStatus is the lowest status code.
-const minStatus = 100
+// minStatus and maxStatus are the lowest and the highest status code.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
 
 // CheckHead returns ErrInvalidHead for a head that net/http has parsed but the protocol doesn't
-// allow: one with a status code below 100 or with a blank in the name of a field. If that name is
+// allow: one with a status code below 100 or above 599, or with a blank in the name of a field. If that name is
 // meant to be Content-Length or Transfer-Encoding, net/http has misread where the body ends.
 func CheckHead(response *http.Response) error {
-	if response.StatusCode < minStatus {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return eris.Wrapf(ErrInvalidHead, "status %q", response.Status)
 	}
 	for name := range response.Header {
--- a/proof/heads_test.go
+++ b/proof/heads_test.go
@@ -17,6 +17,7 @@
 // brokenHeads are answers with a broken head. ID stands for the id of the request.
 var brokenHeads = map[string]string{
 	"status 000":                    "HTTP/1.1 000 Trouble\r\nRequest-Id: ID\r\nServer-Seal: seal.r-1\r\nContent-Length: 0\r\n\r\n",
+	"status 600":                    "HTTP/1.1 600 Trouble\r\nRequest-Id: ID\r\nServer-Seal: seal.r-1\r\nContent-Length: 6\r\n\r\nanswer",
 	"a blank before the colon":      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: seal.r-1\r\nX-Trouble : 1\r\nContent-Length: 6\r\n\r\nanswer",
 	"a blank inside":                "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: seal.r-1\r\nX Trouble: 1\r\nContent-Length: 6\r\n\r\nanswer",
 	"a blank in the name of chunks": "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: seal.r-1\r\nTransfer-Encoding : chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
