Keep suspects that aren't refused for ten minutes again

The trials of a refused request take ten minutes, so that suspects are kept for an hour since then. Each is told with each exchange, and of those that aren't refused nothing depends on more than the ten minutes for which they were kept before.

Test: a suspect with one death and one that an answer has cleared are gone after eleven minutes, a refused one is kept; fails before.

--- a/coord/deaths_internal_test.go
+++ b/coord/deaths_internal_test.go
@@ -55,7 +55,7 @@
 	}
 
 	It("is stored if a member has seen it", func() {
-		suspects := encodeSuspects([]poison.Suspect{poison.NewSuspect(7, []string{"u/1"}, time.Now().Add(time.Minute))}, time.Now())
+		suspects := encodeSuspects([]poison.Suspect{poison.NewSuspect(7, []string{"u/1"}, poison.Expiry(time.Now()))}, time.Now())
 		l.exchange(&syncpb.ExchangeRequest{Member: &syncpb.Member{Instance: "i-2"}, Suspects: suspects}, start)
 		l.stepLease(start.Add(deathWriteInterval))
 		Eventually(store.committed).Should(Receive(ContainSubstring("u/1")))
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -64,9 +64,10 @@
 	maxOutlived = 32
 	// maxAnswered bounds each of the two generations of fingerprints that were answered.
 	maxAnswered = 4096
-	// suspectTTL is how long a suspect is kept after the last death recorded for it, longer than
-	// its trials take.
-	suspectTTL = time.Hour
+	// suspectTTL is how long a suspect is kept after the last death recorded for it: if it isn't
+	// refused, and refusedTTL otherwise, which is longer than its trials take.
+	suspectTTL = 10 * time.Minute
+	refusedTTL = time.Hour
 	// maxSuspects bounds the ledger.
 	maxSuspects = 4096
 )
@@ -139,7 +140,7 @@
 // Proven reports whether requests with the fingerprint have been answered.
 func (s Suspect) Proven() bool { return s.proven }
 
-// Expires returns when the suspect is removed.
+// Expires returns when the suspect is removed at the latest.
 func (s Suspect) Expires() time.Time { return s.expires }
 
 // Trials returns the trials since a request with the fingerprint was last answered, and when the
@@ -150,15 +151,20 @@
 func (s Suspect) Wanted() bool { return s.wanted }
 
 // died returns when the last of the deaths was noticed.
-func (s Suspect) died() time.Time { return s.expires.Add(-suspectTTL) }
+func (s Suspect) died() time.Time { return s.expires.Add(-refusedTTL) }
+
+// expired reports whether the suspect is to be removed.
+func (s Suspect) expired(now time.Time) bool {
+	return !s.expires.After(now) || !s.refused() && now.Sub(s.died()) >= suspectTTL
+}
 
 // refused reports whether requests with the fingerprint are refused.
 func (s Suspect) refused() bool {
 	return len(s.deaths) >= refuseProvenAfter || len(s.deaths) >= refuseAfter && !s.proven
 }
 
-// Expiry returns when a suspect expires whose last death was noticed at a time.
-func Expiry(died time.Time) time.Time { return died.Add(suspectTTL) }
+// Expiry returns when a suspect expires at the latest whose last death was noticed at a time.
+func Expiry(died time.Time) time.Time { return died.Add(refusedTTL) }
 
 // Ledger records deaths by fingerprint. It is safe for concurrent use.
 type Ledger struct {
@@ -244,11 +250,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, suspect := range suspects {
-		if !suspect.expires.After(now) {
+		if suspect.expired(now) {
 			continue
 		}
 		known, ok := l.suspects[suspect.fingerprint]
-		if ok && !known.expires.After(now) {
+		if ok && known.expired(now) {
 			known, ok = Suspect{}, false
 		}
 		if !ok && len(l.suspects) >= maxSuspects {
@@ -286,7 +292,7 @@
 func (l *Ledger) verdict(fingerprint Fingerprint, now time.Time) Verdict {
 	suspect, ok := l.suspects[fingerprint]
 	switch {
-	case !ok || !suspect.expires.After(now) || len(suspect.deaths) == 0:
+	case !ok || suspect.expired(now) || len(suspect.deaths) == 0:
 		return Clean
 	case suspect.refused():
 		return Refused
@@ -319,7 +325,7 @@
 	var first Fingerprint
 	var earliest time.Time
 	for fingerprint, suspect := range l.suspects {
-		if !suspect.expires.After(now) {
+		if suspect.expired(now) {
 			delete(l.suspects, fingerprint)
 			continue
 		}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -153,6 +153,18 @@
 		Expect(ledger.Suspects(now.Add(time.Hour))).To(BeEmpty())
 	})
 
+	It("removes one that isn't refused sooner, also if an answer has cleared it", func() {
+		ledger := poison.New()
+		ledger.RecordDeath(7, "u1/1", now)
+		ledger.RecordDeath(8, "u1/1", now)
+		ledger.RecordSurvival(8)
+		ledger.RecordDeath(9, "u1/1", now)
+		ledger.RecordDeath(9, "u2/1", now)
+		later := now.Add(11 * time.Minute)
+		Expect(ledger.Verdict(9, later)).To(Equal(poison.Refused))
+		Expect(ledger.Suspects(later)).To(HaveLen(1))
+	})
+
 	It("keeps a bounded number of suspects", func() {
 		ledger := poison.New()
 		for n := range 10000 {
