--- a/proof/crashes_test.go
+++ b/proof/crashes_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -30,23 +29,11 @@
 
 // startCrashSite starts instances and upstreams of a plain service.
 func startCrashSite(instances, upstreams int) *host.Site {
-	options := host.SiteOptions{Program: filepath.Join(programs, "cardfront"), Folder: GinkgoT().TempDir(), Instances: instances, Config: host.Config(1, frontModels)}
+	options := host.SiteOptions{Instances: instances}
 	for n := range upstreams {
 		options.Upstreams = append(options.Upstreams, host.UpstreamSpec{ID: fmt.Sprintf("p-%d", n), Service: "plain", DataCentre: "x", Slots: crashSlots})
 	}
-	s, err := host.NewSite(options)
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(s.Close)
-	DeferCleanup(func() {
-		if !CurrentSpecReport().Failed() {
-			return
-		}
-		for _, instance := range s.Instances {
-			GinkgoWriter.Printf("== %s\n%s\n", instance.Name(), instance.Log())
-		}
-	})
-	awaitMembers(s, s.Instances)
-	return s
+	return startHost(options)
 }
 
 // crashed returns when upstreams crashed.
--- a/proof/front_test.go
+++ b/proof/front_test.go
@@ -25,9 +25,8 @@
 
 // startFrontSharing does the same with instances that may share the schedules of upstreams.
 func startFrontSharing(instances int, schedules bool) *host.Site {
-	s, err := host.NewSite(host.SiteOptions{
-		SharedSchedule: schedules,
-		Program:        filepath.Join(programs, "cardfront"), Folder: GinkgoT().TempDir(), Instances: instances, Config: host.Config(1, frontModels),
+	return startHost(host.SiteOptions{
+		SharedSchedule: schedules, Instances: instances,
 		Upstreams: []host.UpstreamSpec{
 			{ID: "i-1", Service: "models", DataCentre: "x", Models: []string{"m1", "m2"}, Disk: []string{"m5"}, Slots: 16, LoadTime: 100 * time.Millisecond},
 			{ID: "i-2", Service: "models", DataCentre: "y", Models: []string{"m3", "m4"}, Slots: 16, LoadTime: 100 * time.Millisecond},
@@ -35,6 +34,13 @@
 			{ID: "p-2", Service: "plain", DataCentre: "y", Slots: 8},
 		},
 	})
+}
+
+// startHost starts the instances and upstreams of the options with the usual configuration, and
+// waits until all are ready and know each other.
+func startHost(options host.SiteOptions) *host.Site {
+	options.Program, options.Folder, options.Config = filepath.Join(programs, "cardfront"), GinkgoT().TempDir(), host.Config(1, frontModels)
+	s, err := host.NewSite(options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Close)
 	DeferCleanup(func() {
