Read an answer in cardd that came before its upload had ended, also if a write fails

Cause: net/http closes the connection when a write of the request fails, and gives up the answer that it has not read yet.

framed.UploadConn hides failed writes from it. Whether the answer ended in order is what the reader finds: framed.Conn keeps the error that a write got, so that a reset before the end of the answer still makes the read fail.

--- a/entry/dial.go
+++ b/entry/dial.go
@@ -18,5 +18,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return framed.NewLineConn(framed.NewConn(base)), nil
+	return framed.NewLineConn(framed.NewUploadConn(framed.NewConn(base))), nil
 }
