Look at the lines of heads on cardd's connections only

framed.Checked hooked into each request of every client that limits its responses, also those of the store, whose connections aren't LineConns. The hook has a transport of its own now.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -51,12 +51,12 @@
 
 func newClient(keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: framed.Checked(&http.Transport{
+		Transport: framed.Checked(framed.Lines(&http.Transport{
 			DialContext:         dialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
 			DisableCompression: true, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes,
 			WriteBufferSize: 16 << 10, ReadBufferSize: 16 << 10,
-		}),
+		})),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/framed/head.go
+++ b/framed/head.go
@@ -32,8 +32,7 @@
 }
 
 // Checked returns a transport that sends requests by base and fails on responses with an invalid
-// head. If base's connections are of the type LineConn, a line that begins with a blank makes a
-// head invalid too.
+// head.
 func Checked(base http.RoundTripper) http.RoundTripper { return &checked{base: base} }
 
 type checked struct {
@@ -42,7 +41,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (c *checked) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := c.base.RoundTrip(request.WithContext(WithLines(request.Context())))
+	response, err := c.base.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
--- a/framed/lines.go
+++ b/framed/lines.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 
@@ -12,7 +12,7 @@
 
 // LineConn is a connection to a server whose reads fail at a line of a response's head that
 // begins with a blank. net/http would join it with the line before, and its caller never sees
-// that it did. WithLines says when a head begins.
+// that it did. Lines says when a head begins.
 type LineConn struct {
 	net.Conn
 	mu   sync.Mutex
@@ -52,14 +52,22 @@
 	c.scan = lineScan{active: true, statusLine: true}
 }
 
-// WithLines returns a context whose requests are sent with a look at the lines of the response's
-// head, on connections that are a LineConn.
-func WithLines(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+// Lines returns a transport that sends requests by base, whose connections are of the type
+// LineConn, and makes these look at the heads of the responses.
+func Lines(base http.RoundTripper) http.RoundTripper { return &lines{base: base} }
+
+type lines struct {
+	base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *lines) RoundTrip(request *http.Request) (*http.Response, error) {
+	hooks := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*LineConn); ok {
 			c.expectHead()
 		}
-	}})
+	}}
+	return l.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), hooks)))
 }
 
 // statusBytes is the length of a status line up to the end of its code.
--- a/framed/lines_test.go
+++ b/framed/lines_test.go
@@ -86,7 +86,7 @@
 			}
 		}()
 		dials := 0
-		client := &http.Client{Transport: framed.Checked(&http.Transport{DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
+		client := &http.Client{Transport: framed.Lines(&http.Transport{DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
 			dials++
 			base, err := net.Dial(network, address)
 			return framed.NewLineConn(base), err
