--- a/poison/trial.go
+++ b/poison/trial.go
@@ -140,19 +140,6 @@
 	notify()
 }
 
-// forget returns the suspect without deaths and trials that no longer count.
-func (s Suspect) forget(names []string) Suspect {
-	s.outlived = latest(s.outlived, names)
-	s.deaths, s.trials = without(s.deaths, s.outlived), without(s.trials, s.outlived)
-	if len(s.trials) == 0 {
-		s.tried = time.Time{}
-	}
-	if slices.Contains(s.outlived, s.next.given) {
-		s.next.given, s.next.givenAt = "", time.Time{}
-	}
-	return s
-}
-
 // Grant returns the name of a trial for another instance whose request waits for one, empty if
 // none is due.
 func (l *Ledger) Grant(fingerprint Fingerprint, now time.Time) string {
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -7,8 +7,12 @@
 	"cardamomcourse.example/cardamom/poison"
 )
 
-// awaitTrial holds a request that crashes upstreams, as far as is known, until it may be sent for
-// trial, and reports whether it may be sent. It refuses the request if it gets no trial soon.
+// A request whose like upstreams have died of is refused, but for trials: one request at a time is
+// sent to find out whether upstreams die of it. The coordinator grants trials to instances where
+// such a request waits.
+
+// awaitTrial reports whether the request may go on: its like isn't refused, or this instance may
+// use a trial, for which the request waits if one is due. Else it refuses the request.
 func (x *exchange) awaitTrial() bool {
 	ledger := x.server.Ledger
 	x.onTrial = x.from.trial
@@ -28,13 +32,13 @@
 	return false
 }
 
-// refuseSuspect ends a request that crashes upstreams, as far as is known.
+// refuseSuspect ends a request whose like is refused, with the time until the next trial.
 func (x *exchange) refuseSuspect() {
 	x.giveUpFor("crashes_upstreams", x.server.Ledger.NextTrial(x.fingerprint, time.Now()))
 }
 
-// admitTrial reports whether the request may be sent now: it may not have been refused when it
-// arrived, and one of those that wait for a trial gets it. Else it ends the request.
+// admitTrial reports whether the request may be sent now. It uses the instance's trial if its like
+// is refused by now, and ends the request if another one has used it.
 func (x *exchange) admitTrial() bool {
 	ledger := x.server.Ledger
 	if x.onTrial || ledger.Verdict(x.fingerprint, time.Now()) != poison.Refused {
