Let no caller pretend that its request is sent for trial, or which stream it goes on with

Both are removed first now.

Tests: a caller that sends them (fails before); new: a request that is refused at the other instance and sent for trial, marked by the one instance (fails without the mark) and served by the other.

--- a/relay/hop.go
+++ b/relay/hop.go
@@ -210,6 +210,9 @@
 	}
 	header := x.server.Dialect.HopHeader(endToEnd(x.r.Header), time.Until(x.deadline()), lastEventID)
 	header.Set(hopHeader, strconv.Itoa(x.runs))
+	// Those that the caller sent mean nothing.
+	header.Del(hopStreamHeader)
+	header.Del(hopTrialHeader)
 	header.Set(hopCatalogHeader, strconv.FormatUint(x.catalog.Version(), 10))
 	if stream != "" {
 		header.Set(hopStreamHeader, stream)
--- a/relay/hop_test.go
+++ b/relay/hop_test.go
@@ -3,11 +3,13 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,6 +17,7 @@
 	cardamom "cardamomcourse.example/cardamom"
 	"cardamomcourse.example/cardamom/clock"
 	"cardamomcourse.example/cardamom/coord"
+	"cardamomcourse.example/cardamom/fakes/host"
 	"cardamomcourse.example/cardamom/relay"
 )
 
@@ -75,6 +78,22 @@
 	_, _ = io.WriteString(w, answer.Body)
 }
 
+// trialPause is a little longer than the time until the first trial.
+const trialPause = 1100 * time.Millisecond
+
+// refuseLike makes the instance refuse requests for the path, which two upstreams crashed with.
+func (w *fixture) refuseLike(path string) {
+	w.listRunning()
+	w.script([]host.Behaviour{host.Crash, host.Crash})
+	for n := range 2 {
+		response, err := http.DefaultClient.Do(w.newRequest(path, "", map[string]string{"Request-Id": fmt.Sprintf("crash-%d", n)}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		w.listRunning()
+	}
+}
+
 // partition makes the instance reach none of its upstreams, beside two other instances.
 func (w *fixture) partition(o *others, peersToo bool) {
 	for _, engine := range w.engines {
@@ -193,10 +212,40 @@
 		w := newFixture(coord.AwaitResult{})
 		o := &others{answers: []peerAnswer{{Status: 200, Seal: true, Body: "whole"}}}
 		w.partition(o, false)
-		response, err := http.DefaultClient.Do(w.newRequest("/once/x", "", map[string]string{"Cardamom-Hop-Runs": "1"}))
+		response, err := http.DefaultClient.Do(w.newRequest("/once/x", "", map[string]string{"Cardamom-Hop-Runs": "1", "Cardamom-Hop-Stream": "s-1", "Cardamom-Hop-Trial": "1"}))
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 		Expect(o.asked[0].Header.Get("Cardamom-Hop-Runs")).To(Equal("0"))
+		Expect(o.asked[0].Header).NotTo(HaveKey("Cardamom-Hop-Stream"))
+		Expect(o.asked[0].Header).NotTo(HaveKey("Cardamom-Hop-Trial"))
+	})
+
+	It("is served for trial though its like is refused here, if the other instance says so", func() {
+		w := newFixture(coord.AwaitResult{}, "i-2", "i-3", "i-4")
+		w.refuseLike("/once/x")
+		crashed := len(w.runs())
+		Expect(serve(w, map[string]string{"Cardamom-Hop-Runs": "0"}).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.runs()).To(HaveLen(crashed))
+		Expect(serve(w, map[string]string{"Cardamom-Hop-Runs": "0", "Cardamom-Hop-Trial": "1"}).StatusCode).To(Equal(http.StatusOK))
+		Expect(w.runs()).To(HaveLen(crashed + 1))
+		for _, run := range w.runs() {
+			Expect(run.Header).NotTo(HaveKey("Cardamom-Hop-Trial"))
+		}
+		Expect(serve(w, map[string]string{"Cardamom-Hop-Runs": "0"}).StatusCode).To(Equal(http.StatusOK))
+	})
+
+	It("is marked as sent for trial if it is", func() {
+		w := newFixture(coord.AwaitResult{}, "i-2", "i-3", "i-4")
+		w.refuseLike("/once/x")
+		w.grantTrials()
+		o := &others{answers: []peerAnswer{{Status: 200, Seal: true, Body: "whole"}}}
+		w.partition(o, false)
+		time.Sleep(trialPause)
+		response, err := http.DefaultClient.Do(w.newRequest("/once/x", "", nil))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(o.asked[0].Header.Get("Cardamom-Hop-Trial")).To(Equal("1"))
 	})
 })
