--- a/review/standin-3/front.go
+++ b/review/standin-3/front.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,13 +26,26 @@
 	ended                                      chan struct{}
 }
 
+// firstPort and ports are the range of ports of instances, below those that the system gives to
+// outgoing connections.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
+// freeAddress returns an address at which nobody listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		defer listener.Close()
+		return listener.Addr().String(), nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 var (
--- a/review/standin-3/one.go
+++ b/review/standin-3/one.go
@@ -149,11 +149,18 @@
 	for n := range oneStops {
 		time.Sleep(time.Until(began.Add(time.Duration(n) * stopGap)))
 		first := leader(s, fronts)
+		for end := time.Now().Add(time.Second); first == nil && time.Now().Before(end); first = leader(s, fronts) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if first == nil {
+			r.line("nobody leads; no machine is stopped")
+			continue
+		}
 		r.line("SIGTERM to %s, the leader", first.name)
 		first.terminate()
 		time.Sleep(time.Until(began.Add(time.Duration(n)*stopGap + killAfter)))
 		second := leader(s, fronts)
-		if second == first {
+		if second == nil || second == first {
 			// No other one has taken over yet.
 			for _, f := range fronts {
 				if f != first {
--- a/review/standin-3/quota.go
+++ b/review/standin-3/quota.go
@@ -59,11 +59,12 @@
 // leader returns the instance that last wrote to the store under a condition.
 func leader(s *store, fronts []*front) *front {
 	var lease struct {
-		Holder string `json:"holder"`
+		Holder   string `json:"holder"`
+		Released bool   `json:"released"`
 	}
 	_ = json.Unmarshal(s.value("cardamom", "coordinator"), &lease)
 	for _, f := range fronts {
-		if f.name == lease.Holder {
+		if f.name == lease.Holder && !lease.Released {
 			return f
 		}
 	}
@@ -76,7 +77,7 @@
 }
 
 // playQuota lets a tenant ask for three times its quota while machines are stopped and started in
-// turn, the leader first, and counts the tokens that are both sent and run in each window.
+// turn, the leader each time, and counts the tokens that are both sent and run in each window.
 func playQuota(r *record, folder string, trouble bool) (int, error) {
 	s, err := startStore()
 	if err != nil {
@@ -149,15 +150,15 @@
 		var rolls sync.WaitGroup
 		for range rolled {
 			f := leader(s, fronts)
+			for end := time.Now().Add(time.Second); (f == nil || stopped[f]) && time.Now().Before(end); f = leader(s, fronts) {
+				time.Sleep(20 * time.Millisecond)
+			}
 			if f == nil || stopped[f] {
-				for _, other := range fronts {
-					if !stopped[other] {
-						f = other
-					}
-				}
+				r.line("no machine that wasn't stopped yet leads; no further one is stopped")
+				break
 			}
 			stopped[f] = true
-			r.line("SIGTERM to %s", f.name)
+			r.line("SIGTERM to %s, the leader", f.name)
 			rolls.Go(func() {
 				if err := f.restart(grace); err != nil {
 					r.line("%s didn't start again: %v", f.name, err)
